--- a/dunefield/__init__.py
+++ b/dunefield/__init__.py
@@ -18,7 +18,9 @@
     How,
     Note,
     Probe,
+    Reconfigure,
     Refuse,
+    RequestClass,
     Response,
     Retract,
     Settings,
@@ -31,7 +33,7 @@
 
 __all__ = [
     "Accept", "Action", "Alarm", "Balancer", "Begun", "CloseIdle", "Defer", "Directory", "Echo", "Entry",
-    "Event", "Fail", "Fetch", "Hangup", "Heard", "How", "Note", "Probe", "Refuse", "Response", "Retract",
-    "Settings", "SettingsError", "Submit", "Subscribe", "Tell",
+    "Event", "Fail", "Fetch", "Hangup", "Heard", "How", "Note", "Probe", "Reconfigure", "Refuse",
+    "RequestClass", "Response", "Retract", "Settings", "SettingsError", "Submit", "Subscribe", "Tell",
 ]
 __version__ = "0.2.0"
--- a/dunefield/crowding.py
+++ b/dunefield/crowding.py
@@ -19,14 +19,19 @@
     """What probes and own answers tell of the fleet as a whole."""
 
     def __init__(self, classes: Sequence[RequestClass], horizon: int, now: int) -> None:
-        self._horizon = horizon
         self._share = [1.0 / len(classes)] * len(classes)  # of each class in the requests of late
-        self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
+        self.adopt(classes, horizon)
         self._at = now
         self._long = 0.25  # part of their aim that own answers take
         self._slack = 1.0  # how much more than usual calls may wait, answers being short for their aim
         self.level = 0.0
 
+    def adopt(self, classes: Sequence[RequestClass], horizon: int) -> None:
+        """Other settings: the classes known so far come first, and keep their places."""
+        self._horizon = horizon
+        self._share += [0.0] * (len(classes) - len(self._share))
+        self._cheapest = sorted(range(len(classes)), key=lambda i: (classes[i].worth, i))
+
     def count(self, number: int) -> None:
         """Take note of a request's class."""
         for i, share in enumerate(self._share):
--- a/dunefield/interface.py
+++ b/dunefield/interface.py
@@ -285,6 +285,8 @@
     key: str = ""
     retry: bool = False
     write: bool = False
+    kind: RequestClass | None = None
+    """The class it was taken with, where the settings' class at `cls` is another by now."""
 
 
 class Response(NamedTuple):
@@ -336,7 +338,13 @@
     data: bytes
 
 
-Event = Directory | Accept | Response | Begun | Hangup | Alarm | Echo | Heard
+class Reconfigure(NamedTuple):
+    """Other settings hold from now on. Open calls keep the class that they were taken with."""
+
+    settings: Settings
+
+
+Event = Directory | Accept | Response | Begun | Hangup | Alarm | Echo | Heard | Reconfigure
 
 
 # --- Actions: what the instance wants done ------------------------------------------------------
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -16,9 +16,9 @@
 from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
-    How, Probe, Refuse, RequestClass, Response, Retract, Settings, Submit, Subscribe,
+    How, Probe, Reconfigure, Refuse, Response, Retract, Settings, Submit, Subscribe,
 )
-from dunefield.state import FIGURE, GAIN, Attempt, Call, Server
+from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Server, pulse
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
 TICK = 1  # tag of the timer for held calls; 0 is the one for the server list
@@ -35,16 +35,10 @@
 RETRY_RATIO = 0.2  # further attempts earned by one request
 
 
-def _pulse(rate: float, gap: int, span: int) -> float:
-    """A rate of events, smoothed over about `span`, after one more event `gap` after the last."""
-    return rate + (1.0 - rate * gap) / span if gap < span else 1.0 / gap
-
-
 class Balancer:
     """One sidecar's balancer: clock, seed and events in, actions out."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self._set = settings
         self._random = random.Random(seed).random
         self._acts: list[Action] = []
         self._servers: dict[str, Server] = {}
@@ -57,12 +51,6 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
         self._armed = False  # a tick for the held calls is due
-        self._horizon = max(c.deadline_ns for c in settings.classes)
-        unknown = RequestClass("", self._horizon, self._horizon)
-        self._classes = classes = (*settings.classes, unknown)
-        self._pace = max(1, min(c.aim_ns for c in classes) // 16)  # how often held calls are looked at
-        # Mean time to answer by class when uncrowded, beyond what a call's hint tells; its samples; the last.
-        self._extra = [(c.aim_ns / 4, 0, now) for c in classes]
         self._stretch = 1.0  # service time over size, all servers
         self._tokens = 1.0 / RETRY_RATIO
         self._rate = 0.0  # requests of late, for each nanosecond
@@ -70,18 +58,37 @@
         self._heard_at = self._served_at = self._begun_at = now
         self._reach = 1  # servers that draws go over
         self._heaviest = 1.0  # the largest weight listed
-        self._crowding = Crowding(classes, self._horizon, now)
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
         self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
-        self._ask_pause = settings.invariants.must_ask_in_ns // 16
         self._watching = False
+        self._table = Classes()
+        # Mean time to answer by class when uncrowded, beyond what a call's hint tells; its samples; the last.
+        self._extra: list[tuple[float, int, int]] = []
+        self._adopt(now, settings)
+        self._crowding = Crowding(self._classes, self._horizon, now)
+
+    def _adopt(self, now: int, settings: Settings) -> None:
+        """Decide by these settings from now on. What was learnt stays, and so do open calls' classes."""
+        self._set = settings
+        self._horizon = max(c.deadline_ns for c in settings.classes)
+        self._table.adopt(settings.classes)
+        self._classes = classes = self._table.known
+        self._extra += [(c.aim_ns / 4, 0, now) for c in classes[len(self._extra):]]
+        # How often held calls are looked at.
+        self._pace = max(1, min(c.aim_ns for c in (*settings.classes, classes[self._table.unknown])) // 16)
+        self._ask_pause = settings.invariants.must_ask_in_ns // 16
         dear = PROBES * settings.prices.get("probe", 0.0) > PROBE_SPEND
         self._probing = settings.reports != "none" and settings.limits.may_probe and not dear
         # How many servers a silent sidecar draws from: all where probes tell of each of them.
         priced = settings.prices.get("connection", 0.0) > 0
         self._subset_size = 10**9 if self._probing and not priced else SUBSET // (1 + priced)
 
+    def census(self, now: int) -> tuple[int, int]:
+        """How many servers are listed, and how many of them are avoided now."""
+        listed = [s for s in self._servers.values() if not s.gone]
+        return len(listed), sum(s.avoided(now, self._table.listed) for s in listed)
+
     # --- events ---------------------------------------------------------------------------------
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -101,16 +108,21 @@
             self._on_echo(now, event)
         elif isinstance(event, Begun) and event.tid in self._calls:
             self._calls[event.tid].begun = True
+        elif isinstance(event, Reconfigure):
+            self._adopt(now, event.settings)
+            self._crowding.adopt(self._classes, self._horizon)
+            if self._set.must_ask and not self._watching:
+                self._ask_later(now)
+            self._pump(now)
         return self._acts
 
     def _on_accept(self, now: int, event: Accept) -> None:
-        # A class that the settings do not name may be one that must never run twice.
-        number = event.cls if 0 <= event.cls < len(self._classes) else len(self._classes) - 1
-        cls = self._classes[number]
+        number, cls = self._table.find(event.cls, event.kind)
         # An answer is worth nothing to a client that has left, however far the aim: patience may be short.
         aim_at = now + min(cls.aim_ns + int(cls.aim_stretch * event.cost_ns), cls.deadline_ns, event.ttl_ns)
         size = event.cost_ns + self._extra[number][0]
-        call = Call(event.tid, number, cls, now + event.ttl_ns, aim_at, event.cost_ns, max(1.0, size))
+        call = Call(event.tid, number, cls, self._set.limits.max_attempts, now + event.ttl_ns, aim_at,
+                    event.cost_ns, max(1.0, size))
         call.give_up = self._give_up(call)
         self._calls[event.tid] = call
         self._count(now, number)
@@ -127,7 +139,7 @@
     def _count(self, now: int, number: int) -> None:
         """Rate of requests and share of each class, over about one horizon."""
         span = min(self._horizon, now - self._begun_at + self._pace)
-        self._rate = _pulse(self._rate, now - self._heard_at, span)
+        self._rate = pulse(self._rate, now - self._heard_at, span)
         self._heard_at = now
         self._crowding.count(number)
         self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
@@ -304,8 +316,8 @@
         if event.how == How.OK and event.lag_ns > 0:
             server = attempt.server
             span = min(self._horizon, now - self._begun_at + self._pace)
-            self._served, self._served_at = _pulse(self._served, now - self._served_at, span), now
-            service = event.lag_ns * self._ramp(server, now)  # being cold is no fault, and passes
+            self._served, self._served_at = pulse(self._served, now - self._served_at, span), now
+            service = event.lag_ns * server.ramp(now, self._set.invariants)  # cold is no fault, and passes
             sample = service / attempt.size
             known = server.stretch if server.seen else self._stretch
             server.stretch, server.seen = known + (sample - known) * GAIN, now
@@ -389,19 +401,11 @@
 
     # --- the pick -------------------------------------------------------------------------------
 
-    def _ramp(self, server: Server, now: int) -> float:
-        """The share of its capacity that a server has at worst, being cold."""
-        inv = self._set.invariants
-        age = now - server.started
-        if server.started <= 0 or age >= inv.cold_ns:
-            return 1.0
-        return inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
-
     def _warm(self, server: Server, now: int) -> bool:
         """Exception "cold ramp": a server that may be cold gets its worst warmth's share of what own servers
         answer, in credit for one call at a time. Answers and not demand, which a storm multiplies; a floor
         of the demand, lest a fleet that is cold throughout gets nothing."""
-        ramp = self._ramp(server, now)
+        ramp = server.ramp(now, self._set.invariants)
         if ramp >= 1.0:
             return True
         served = min(self._served, 1.0 / max(1, now - self._served_at))
@@ -496,7 +500,7 @@
         if not server.up or call.begun or now >= call.deadline:
             return False
         limits = self._set.limits
-        if call.attempts >= limits.max_attempts or (call.out and not limits.second_copies):
+        if call.attempts >= min(call.most, limits.max_attempts) or (call.out and not limits.second_copies):
             return False
         if cls.repeat == "free":
             return True
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
-from dunefield.interface import Entry, RequestClass
+from dunefield.interface import Entry, Invariants, RequestClass
 
 GAIN = 0.3  # weight of one new observation against what was known
 FIGURE = 2.0  # concurrency figure of a server nothing is known of, and its ceiling: each step admits so many
 
 
+def pulse(rate: float, gap: int, span: int) -> float:
+    """A rate of events, smoothed over about `span`, after one more event `gap` after the last."""
+    return rate + (1.0 - rate * gap) / span if gap < span else 1.0 / gap
+
+
 class Server:
     """What this sidecar knows of one server."""
 
@@ -48,23 +54,78 @@
         self.credit = 0.0  # calls that a server which may be cold may be sent, as of when
         self.credit_at = 0
 
+    def ramp(self, now: int, inv: Invariants) -> float:
+        """The share of its capacity that a server has at worst, being cold."""
+        age = now - self.started
+        if self.started <= 0 or age >= inv.cold_ns:
+            return 1.0
+        return inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
+
+    def avoided(self, now: int, classes: Sequence[int]) -> bool:
+        """Whether no new call would go here, but for a trial: draining, at k = 0, or passed over."""
+        muted = all(now < self.mute.get(number, (0, 0))[0] for number in classes)
+        return not self.up or not self.k or muted or now < self.mute_until
+
     @property
     def budget(self) -> int:
         return max(1, int(self.k * self.figure)) if self.k else 0
 
 
+class Classes:
+    """The request classes under numbers of the module's own, which stay when settings change: what was learnt
+    of a class is kept by its number. One that is dropped keeps its number, should it come back."""
+
+    def __init__(self) -> None:
+        self.known: list[RequestClass] = []
+        self._numbers: dict[str, int] = {}
+        self._places: list[int] = []  # the number of the class at each place of the settings
+        self.unknown = 0
+
+    def adopt(self, classes: Sequence[RequestClass]) -> None:
+        """Take over the settings' classes. What they do not name may be a class that must never run twice."""
+        longest = max(c.deadline_ns for c in classes)
+        unknown = RequestClass("", longest, longest)
+        if not self.known:
+            self.known = [*classes, unknown]
+            self.unknown = len(classes)
+            self._places = list(range(len(classes)))
+            self._numbers = {c.name: i for i, c in enumerate(classes)}
+            return
+        self.known[self.unknown] = unknown
+        for cls in classes:
+            if cls.name not in self._numbers:
+                self._numbers[cls.name] = len(self.known)
+                self.known.append(cls)
+            self.known[self._numbers[cls.name]] = cls
+        self._places = [self._numbers[c.name] for c in classes]
+
+    @property
+    def listed(self) -> Sequence[int]:
+        """The numbers of the classes that the settings name."""
+        return self._places
+
+    def find(self, place: int, kind: RequestClass | None) -> tuple[int, RequestClass]:
+        """The number and the class of a request."""
+        if kind is not None:
+            return self._numbers.get(kind.name, self.unknown), kind
+        number = self._places[place] if 0 <= place < len(self._places) else self.unknown
+        return number, self.known[number]
+
+
 class Call:
     """A request this sidecar owes an answer."""
 
     __slots__ = (
-        "tid", "number", "cls", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on", "ran_at",
-        "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
+        "tid", "number", "cls", "most", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on",
+        "ran_at", "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
     )
 
     def __init__(
-        self, tid: str, number: int, cls: RequestClass, deadline: int, aim_at: int, hint: float, size: float
+        self, tid: str, number: int, cls: RequestClass, most: int, deadline: int, aim_at: int, hint: float,
+        size: float,
     ) -> None:
         self.tid, self.number, self.cls = tid, number, cls
+        self.most = most  # attempts that it was taken with
         self.deadline, self.aim_at = deadline, aim_at
         self.hint = hint  # work as told, 0 where nothing is
         self.size = size  # expected time to answer of an idle server
--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -15,6 +15,7 @@
 import uvloop
 
 from hollyport.config import Config, ConfigError, load
+from hollyport.reload import fixed, read_again
 from hollyport.sidecar import Sidecar
 
 
@@ -24,8 +25,8 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    again = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, again.set)
+    again = asyncio.Semaphore(0)  # counts: each signal is answered with a file taken or turned down
+    loop.add_signal_handler(signal.SIGHUP, again.release)
     config = load(sidecar_env)
     sidecar = Sidecar(config, loop)
     await sidecar.start()
@@ -37,24 +38,22 @@
     await sidecar.stop()
 
 
-async def reload(sidecar: Sidecar, config: Config, env: dict[str, str], again: asyncio.Event) -> None:
+async def reload(sidecar: Sidecar, config: Config, env: dict[str, str], again: asyncio.Semaphore) -> None:
     """Take over the file at each SIGHUP. One that can't be used leaves in force what was."""
     while True:
-        await again.wait()
-        again.clear()
+        await again.acquire()
         try:
             # In a thread: reading and parsing must not hold up requests.
-            new = await asyncio.to_thread(load, env, True)
+            new = await asyncio.to_thread(read_again, env, config)
         except Exception as error:
+            sidecar.turned_down()
             print(f"{config.name}: reload: old configuration kept: {error}", file=sys.stderr, flush=True)
             continue
-        rest = [key for key in ("name", "listen", "sockets", "settings")
-                if getattr(new, key) != getattr(config, key)]
+        rest = fixed(new, config)
         note = f"; a restart is needed for {', '.join(rest)}" if rest else ""
         print(f"{config.name}: reload: discovery at {':'.join(map(str, new.discovery))}{note}",
               file=sys.stderr, flush=True)
-        if new.discovery != config.discovery:
-            sidecar.move_discovery(new.discovery)
+        sidecar.reconfigure(new)
         config = new
 
 
--- a/hollyport/admission.py
+++ b/hollyport/admission.py
@@ -6,10 +6,11 @@
 import re
 from typing import NamedTuple
 
-from dunefield.interface import Settings
+from dunefield.interface import RequestClass, Settings
 from hollyport.client import Message
 
 ID = re.compile(rb"[!-~]{1,256}")
+OLD_FORM_S = 2.0  # how long the form that held before new settings is still taken: clients follow 1.2 s later
 SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,12})?")
 ONCE = (b"x-request-id", b"x-timeout", b"idempotency-key", b"x-tenant-id")
 
@@ -18,7 +19,8 @@
     """A request that can be used."""
 
     rid: bytes
-    cls: int
+    cls: int  # its place in the settings, -1 where they no longer name it so
+    kind: RequestClass
     wait_ns: int  # for how long the client waits, from when it sent the request
     cost_ns: int
     tenant: int
@@ -31,12 +33,21 @@
     """Reads requests by the settings. Protects the servers, which turn away what they can't use and close
     the connection on what they can't read: nothing of that kind may reach them."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, before: Gate | None = None, now: float = 0.0) -> None:
         self._classes = {c.name.encode(): (i, c) for i, c in enumerate(settings.classes)}
+        self._before: dict[bytes, tuple[int, RequestClass]] = {}
+        self._before_until = now + OLD_FORM_S
+        if before is not None:
+            self._before = dict(before._before) if now < before._before_until else {}
+            self._before.update({name: (-1, c) for name, (_, c) in before._classes.items()})
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
-    def admit(self, message: Message) -> Admission | int:
-        """Read a request; the status for one that can't be used."""
+    def admit(self, message: Message, now: float) -> Admission | int:
+        """Read a request; the status for one that can't be used.
+
+        Method and key tell how a request may be repeated, so one that was sent by the settings before is
+        known by its form, and taken by them.
+        """
         told: dict[bytes, bytes] = {}
         for name, value in message.headers:
             if name in told and name in ONCE:
@@ -45,17 +56,16 @@
         rid = told.get(b"x-request-id", b"")
         if ID.fullmatch(rid) is None or message.target[:1] != b"/":
             return 400
-        found = self._classes.get(message.target[1:].partition(b"?")[0].partition(b"/")[0])
-        if found is None:
-            return 404
+        name = message.target[1:].partition(b"?")[0].partition(b"/")[0]
+        keyed = b"idempotency-key" in told
+        found = self._classes.get(name)
+        wrong = 404 if found is None else _misfit(found[1], message, keyed)
+        if wrong and name in self._before and now < self._before_until:
+            found = self._before[name]
+            wrong = _misfit(found[1], message, keyed)
+        if wrong or found is None:
+            return wrong
         number, cls = found
-        # The method tells how the request may be repeated: one that contradicts its class is a mistake.
-        if message.method != (b"GET" if cls.repeat == "free" else b"POST"):
-            return 405
-        if message.method == b"GET" and message.body:
-            return 400
-        if (cls.repeat == "guarded") != (b"idempotency-key" in told):
-            return 400
         wait = cls.deadline_ns
         timeout = told.get(b"x-timeout")
         if timeout is not None:
@@ -66,6 +76,7 @@
         return Admission(
             rid,
             number,
+            cls,
             wait,
             int(min(max(cost, 0.0), 1e9) * 1e3),
             self._tenants.get(told.get(b"x-tenant-id", b""), -1 if self._tenants else 0),
@@ -75,6 +86,15 @@
         )
 
 
+def _misfit(cls: RequestClass, message: Message, keyed: bool) -> int:
+    """The status for a request whose form contradicts its class, which is a mistake; 0 if it fits."""
+    if message.method != (b"GET" if cls.repeat == "free" else b"POST"):
+        return 405
+    if message.method == b"GET" and message.body:
+        return 400
+    return 400 if (cls.repeat == "guarded") != keyed else 0
+
+
 def _number(text: bytes | None) -> float:
     """A finite number; 0 for anything else."""
     if text is None:
--- a/hollyport/client.py
+++ b/hollyport/client.py
@@ -250,7 +250,7 @@
         if message is not self._active or transport is None:
             return
         self._active = None
-        last = self._listener.stopping and not self._waiting and not self._rest
+        last = self._listener.last_answers() and not self._waiting and not self._rest
         keep = message.keep_alive and not last and status not in CLOSING
         # Clients have only so many connections: where many ask once and stay, kept ones would use them up.
         keep = keep and not (self._listener.crowded() and not self._waiting and not self._rest)
--- a/hollyport/config.py
+++ b/hollyport/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from dunefield.interface import Settings, SettingsError
@@ -32,6 +32,8 @@
     sockets: int
     known: Mapping[str, Any]
     settings: Settings
+    control: Address | None = None  # where operators call
+    raw: Mapping[str, Any] = field(default_factory=dict)  # the file as it was read
 
 
 def parse_address(text: Any) -> Address:
@@ -59,7 +61,8 @@
         raise ConfigError(f"NODE_CONFIG: {path}: {' '.join(str(error).split())}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"NODE_CONFIG: {path} does not hold an object")
-    for key in ("name", "listen", "discovery"):
+    read = dict(raw)
+    for key in ("name", "listen", "discovery", "control"):
         told = None if again and key == "discovery" else env.get(f"NODE_{key.upper()}")
         raw[key] = told or raw.get(key)
     limits = raw.get("limits", {})
@@ -83,6 +86,8 @@
         sockets=sockets,
         known=known,
         settings=settings,
+        control=_address(raw, "control") if raw["control"] is not None else None,
+        raw=read,
     )
 
 
--- a/hollyport/connection.py
+++ b/hollyport/connection.py
@@ -30,6 +30,7 @@
 
 
 Done = Callable[["Reply | None"], None]
+Wrote = Callable[[], None]
 
 
 class Spoilt(Exception):
@@ -53,6 +54,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._done: Done | None = None
+        self._wrote: Wrote | None = None  # called once the last byte is written
         self._blocked = False
         self._written = True
         self._headers: list[tuple[bytes, bytes]] = []
@@ -78,7 +80,7 @@
 
     def resume_writing(self) -> None:
         self._blocked = False
-        self._written = True
+        self._whole()
 
     def data_received(self, data: bytes) -> None:
         if self._done is None or self._parser is None:
@@ -173,9 +175,10 @@
         """Whether the kernel has taken the last byte of the request."""
         return self._written
 
-    def send(self, data: bytes, done: Done) -> None:
+    def send(self, data: bytes, done: Done, wrote: Wrote | None = None) -> None:
         """Write a request; `done` gets the answer, or None if the connection ends before its last byte."""
         assert self._done is None and self._transport is not None
+        self._wrote = wrote
         self._done, self._complete, self._raw, self._in_head = done, False, 0, True
         self._written = False
         if self._transport.is_closing():
@@ -184,7 +187,15 @@
             self._finish(None)
             return
         self._transport.write(data)
-        self._written = not self._blocked and not self._transport.is_closing()
+        if not self._blocked and not self._transport.is_closing():
+            self._whole()
+
+    def _whole(self) -> None:
+        """The kernel has taken the last byte."""
+        self._written = True
+        wrote, self._wrote = self._wrote, None
+        if wrote is not None:
+            wrote()
 
     def silent(self) -> bool:
         """Whether an idle connection has nothing to read, neither an end nor a stray byte.
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -17,6 +17,8 @@
 SILENT_S = 2.1  # how long a connection may say nothing; 2 s are the promise
 KEEP_S = 30.0  # how long one is kept between requests
 LINGER_S = 2.0  # how long what a client still sends is read after its connection's last answer
+DRAIN_S = 0.4  # from the drain to the first close of what is idle; new connections stop after about 0.3 s
+EMPTY_S = 0.05  # how often idle connections are looked for then
 SPARE_S = 2.0  # a connection between requests may be closed from here on
 # Where there is no room, a connection that has said nothing is closed much sooner: the usual client
 # sends as soon as it is connected, and its bytes would be in the kernel by now.
@@ -46,6 +48,7 @@
         self.most = most
         self._crowd = crowd
         self.stopping = False
+        self.draining = False
         self.connections: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, float] = {}  # nothing has come yet
         self.partial: dict[ClientConnection, float] = {}  # part of a request has come
@@ -70,6 +73,29 @@
         """From now on each answer closes its connection."""
         self.stopping = True
 
+    def drain(self, on: bool) -> None:
+        """From now on each answer closes its connection, and what is idle goes; or no longer. Told twice, the
+        drain that is on goes on."""
+        assert self._loop is not None
+        if on and not self.draining and self._socket is not None:
+            self._loop.call_later(DRAIN_S, self._empty)
+        self.draining = on
+
+    def _empty(self) -> None:
+        """Close what is idle, again and again: a client may open a connection until it has heard the no."""
+        if not self.draining or self._socket is None or self._loop is None:
+            return
+        now = self._loop.time()
+        for queue in (self.silent, self.visitors, self.kept):
+            for connection in _older(queue, now - HUSH_S):
+                if connection.quiet():
+                    connection.close()
+        self._loop.call_later(EMPTY_S, self._empty)
+
+    def last_answers(self) -> bool:
+        """Whether an answer is the last on its connection."""
+        return self.stopping or self.draining
+
     def close(self) -> None:
         """Listen no more, and close what is between requests. What the machine has accepted is taken."""
         while self._socket is not None and self._take():
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -29,9 +29,12 @@
     How,
     Note,
     Probe,
+    Reconfigure,
     Refuse,
+    RequestClass,
     Response,
     Retract,
+    Settings,
     Submit,
     Subscribe,
     Tell,
@@ -41,8 +44,10 @@
 from hollyport.client import Message
 from hollyport.config import Address, Config
 from hollyport.connection import Reply
+from hollyport.control import Control
 from hollyport.discovery import Discovery, Listing, read_listing
 from hollyport.listener import Listener
+from hollyport.stats import Gauges, Stats
 from hollyport.upstream import Exchange, Upstream
 
 MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
@@ -52,7 +57,8 @@
 BEAT_S = 0.02  # how often the loop shows that it runs
 MOST_LOAD = 1e5  # a report of more is none
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
-RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery old and new, files
+RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery, files, operators
+GONE = 499  # in the figures: the client left before its answer
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade",
@@ -76,7 +82,7 @@
 
     __slots__ = ("tid", "message", "cls", "head", "attempts", "out", "maybe_ran", "over", "guard", "last")
 
-    def __init__(self, tid: str, message: Message, cls: int) -> None:
+    def __init__(self, tid: str, message: Message, cls: RequestClass) -> None:
         self.tid, self.message, self.cls = tid, message, cls
         self.head = b""
         self.attempts = 0
@@ -95,6 +101,8 @@
         self._settings = settings = config.settings
         self._clock = Clock()
         self._gate = Gate(settings)
+        self._stats = Stats(c.name for c in settings.classes)
+        self._taken = 0  # requests that are owed an answer
         self._longest_ns = max(c.deadline_ns for c in settings.classes)
         self._ids: dict[bytes, float] = {}  # ids of requests taken of late, by when
         self._id_life_s = 2 * self._longest_ns / 1e9
@@ -104,17 +112,13 @@
         self._beat()
         self._inbox: deque[Event] = deque()
         self._handling = False
-        # A probe that takes so long tells of a server that stands still, whatever it would have said.
-        self._probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
-        probed = b"/-/load" if settings.reports != "none" else b"/-/healthy"
-        self._probe_request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % probed
         limits = settings.limits
         # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
         # Clients may hold a third of all for requests; as many again are left to those that send none.
         clients = (config.sockets - RESERVE) * 2 // 3
         self._upstream = Upstream(
             loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
-            min(c.aim_ns for c in settings.classes) / 2e9,
+            _stall_s(settings),
         )
         self._listener = Listener(self, clients, config.sockets // 4)
         known = read_listing(config.known, settings)
@@ -122,12 +126,23 @@
         self._module = Balancer(settings, config.seed, self._clock())
         self._take_list(known, "SAVED")
         self._pushed = None if settings.must_ask else loop.create_task(self._discovery.follow())
+        self._control = Control(self)
+        self.control_port = 0
+        self._probes_by(settings)
+
+    def _probes_by(self, settings: Settings) -> None:
+        # A probe that takes so long tells of a server that stands still, whatever it would have said.
+        self._probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
+        probed = b"/-/load" if settings.reports != "none" else b"/-/healthy"
+        self._probe_request = b"GET %s HTTP/1.1\r\nHost: sidecar\r\n\r\n" % probed
 
     # --- life
 
     async def start(self) -> int:
-        """Listen for the application; return the port."""
-        listen = self._config.listen
+        """Listen for the application, and for operators where an address is named; return the first port."""
+        listen, control = self._config.listen, self._config.control
+        if control is not None:
+            self.control_port = await self._control.start(self._loop, control)
         return await self._listener.start(self._loop, listen.host, listen.port)
 
     async def stop(self) -> None:
@@ -144,15 +159,50 @@
         while self._listener.busy() and self._loop.time() < latest:
             await asyncio.sleep(LOOK_S)
             self._listener.close()
+        self._control.close()
+
+    def reconfigure(self, config: Config) -> None:
+        """Take over a configuration that has been checked, whole and in one turn of the loop."""
+        old, new = self._settings, config.settings
+        moved = config.discovery != self._config.discovery
+        self._config = config
+        self._stats.reconfig_ok += 1
+        if new != old:
+            self._settings = new
+            self._gate = Gate(new, self._gate, self._loop.time())
+            self._stats.know(c.name for c in new.classes)
+            self._outlast(max(c.deadline_ns for c in new.classes))
+            self._upstream.adjust(new.limits.connect_timeout_ns, new.limits.conn_idle_ns, _stall_s(new))
+            self._probes_by(new)
+            self.deliver(Reconfigure(new))
+        listed = (new.zones, new.kinds, new.must_ask, new.invariants.must_ask_in_ns)
+        if moved or listed != (old.zones, old.kinds, old.must_ask, old.invariants.must_ask_in_ns):
+            self.move_discovery(config.discovery)
+
+    def _outlast(self, longest_ns: int) -> None:
+        """Count with another longest deadline; a shorter one only once no request is left from before."""
+        def settle() -> None:
+            self._longest_ns = max(c.deadline_ns for c in self._settings.classes)
+            self._id_life_s = 2 * self._longest_ns / 1e9
+
+        self._loop.call_later(self._id_life_s, settle)
+        self._longest_ns = max(self._longest_ns, longest_ns)
+        self._id_life_s = 2 * self._longest_ns / 1e9
+
+    def turned_down(self) -> None:
+        """A configuration could not be taken."""
+        self._stats.reconfig_failed += 1
 
     def move_discovery(self, address: Address) -> None:
         """Follow another discovery from now on: its whole list first, and its own version numbers."""
         self._discovery.close()
         self._discovery = Discovery(self._loop, address, self._settings, None, self._told)
-        if self._pushed is None:
+        if self._pushed is not None:
+            self._pushed.cancel()
+            self._pushed = None
+        if self._settings.must_ask:
             self._discovery.subscribe(True)
         else:
-            self._pushed.cancel()
             self._pushed = self._loop.create_task(self._discovery.follow())
 
     # --- events in
@@ -192,25 +242,42 @@
 
     def ready(self) -> bool:
         """Whether requests can be served."""
-        return self._upstream.any_up() and not self._listener.stopping
+        return self._upstream.any_up() and not self._listener.last_answers()
+
+    # --- Control's Operated
+
+    def figures(self) -> bytes:
+        """The figures as text."""
+        listed, down = self._module.census(self._clock())
+        return self._stats.render(Gauges(self._taken, listed, down))
+
+    def drain(self, on: bool) -> None:
+        """Empty the sidecar, or end that. It goes on serving what comes all the same."""
+        if on != self._listener.draining:
+            print(f"drain: {'on' if on else 'over'}", file=sys.stderr, flush=True)
+        self._listener.drain(on)
+
+    # --- Listener's Service, on
 
     def request(self, message: Message) -> None:
         """Take a request."""
-        asked = self._gate.admit(message)
         now = self._loop.time()
+        asked = self._gate.admit(message, now)
         if not isinstance(asked, int) and not self._new_id(asked.rid, now):
             asked = 409
         if isinstance(asked, int):
             message.answer(asked)
             return
         self._count += 1
+        self._taken += 1
         message.tid = tid = str(self._count)
         # It may have waited behind another, or unread while this process stood still for want of CPU.
         wait = asked.wait_ns - int((now - message.came + self._stalled()) * 1e9)
-        request = self._requests[tid] = Request(tid, message, asked.cls)
+        request = self._requests[tid] = Request(tid, message, asked.kind)
         request.guard = self._loop.call_later((wait - GUARD_NS) / 1e9, self._guard, request)
         self.deliver(Accept(
-            tid, asked.cls, wait - MARGIN_NS, asked.cost_ns, asked.tenant, asked.key, asked.retry, asked.write
+            tid, asked.cls, wait - MARGIN_NS, asked.cost_ns, asked.tenant, asked.key, asked.retry,
+            asked.write, asked.kind if asked.cls < 0 else None,
         ))
 
     def _new_id(self, rid: bytes, now: float) -> bool:
@@ -246,7 +313,7 @@
         """The client left; what its attempts come to is still told to the module."""
         request = self._requests.get(message.tid)
         if request is not None and not request.over:
-            self._finish(request)
+            self._finish(request, GONE)
             self.deliver(Hangup(request.tid))
             self._forget(request)
 
@@ -286,7 +353,7 @@
         request = self._requests[tid]
         number, request.attempts = request.attempts, request.attempts + 1
         sent = self._clock()
-        abandon = abandon_ns or sent + self._settings.classes[request.cls].deadline_ns
+        abandon = abandon_ns or sent + request.cls.deadline_ns
 
         def ended(how: How, reply: Reply | None) -> None:
             request.out.pop(number, None)
@@ -295,7 +362,8 @@
         exchange = None
         if not request.over:
             exchange = self._upstream.exchange(
-                server, lambda: self._wire(request, abandon), (abandon - sent) / 1e9, ended
+                server, lambda: self._wire(request, abandon), (abandon - sent) / 1e9, ended,
+                self._stats.wrote,
             )
         if exchange is None:
             ended(How.MOOT, None)
@@ -323,7 +391,7 @@
         if how is How.OK and reply is not None and not request.over:
             headers = [pair for pair in reply.headers if pair[0] not in NOT_RETURNED]
             message = request.message
-            self._finish(request)
+            self._finish(request, 200)
             message.answer(200, reply.body, headers)
         lag = self._clock() - sent
         load = _load(reply.header(b"x-server-load") if reply is not None else None)
@@ -359,12 +427,15 @@
     def _answer(self, tid: str, status: int, body: bytes, headers: list[tuple[bytes, bytes]]) -> None:
         request = self._requests.get(tid)
         if request is not None and not request.over:
-            self._finish(request)
+            self._finish(request, status)
             request.message.answer(status, body, headers)
             self._forget(request)
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: Request, status: int) -> None:
+        """The one place where a request ends."""
         request.over = True
+        self._taken -= 1
+        self._stats.ended(request.cls.name, status)
         if request.guard is not None:
             request.guard.cancel()
 
@@ -380,7 +451,7 @@
 
     def _give_up(self, request: Request, status: int) -> None:
         """Answer without the module, truthfully: a refusal only if no attempt can have run."""
-        free = self._settings.classes[request.cls].repeat == "free"
+        free = request.cls.repeat == "free"
         ran = request.maybe_ran or bool(request.out)
         self._answer(request.tid, status if ran and not free else 503, b"failed\n", [])
         self.deliver(Hangup(request.tid))  # for the module it is over, too
@@ -404,6 +475,11 @@
         self.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
 
 
+def _stall_s(settings: Settings) -> float:
+    """How long an answer that has begun may pause."""
+    return min(c.aim_ns for c in settings.classes) / 2e9
+
+
 def _load(text: bytes | None) -> dict[str, float]:
     """A load report; none where it can't be one: a wrong one would draw all calls to one server, or none."""
     if not text:
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -10,7 +10,7 @@
 
 from dunefield.interface import How
 from hollyport.config import Address
-from hollyport.connection import Connection, Reply
+from hollyport.connection import Connection, Reply, Wrote
 
 OWN_WANT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP_S = 1.0  # how often idle connections are looked through
@@ -34,9 +34,11 @@
     """One request to one server: one connection, written once at the most, ended exactly once."""
 
     def __init__(
-        self, upstream: Upstream, target: Target, make: Callable[[], bytes], limit_s: float, ended: Ended
+        self, upstream: Upstream, target: Target, make: Callable[[], bytes], limit_s: float, ended: Ended,
+        wrote: Wrote | None = None,
     ) -> None:
         self._upstream, self._target, self._make, self._ended = upstream, target, make, ended
+        self._wrote = wrote
         self._loop = upstream.loop
         self._give_up = self._loop.time() + limit_s
         self._connection: Connection | None = None
@@ -90,7 +92,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._connection = connection
-        connection.send(self._make(), self._replied)
+        connection.send(self._make(), self._replied, self._wrote)
         if not self._over:
             self._timer = self._loop.call_later(self._give_up - self._loop.time(), self._timed_out)
 
@@ -146,15 +148,19 @@
         stall_s: float = 0.0,
     ) -> None:
         self.loop = loop
-        self.connect_timeout_s = connect_timeout_ns / 1e9
-        self._idle_s = idle_ns / 1e9 * IDLE_SHARE
-        self._most = most
-        self._stall_s = stall_s
+        self.most = most
+        self.adjust(connect_timeout_ns, idle_ns, stall_s)
         self._open: set[Connection] = set()
         self._dialling = 0
         self._targets: dict[str, Target] = {}
         loop.call_later(SWEEP_S, self._sweep)
 
+    def adjust(self, connect_timeout_ns: int, idle_ns: int, stall_s: float) -> None:
+        """Other limits from now on; connections that are open keep theirs."""
+        self.connect_timeout_s = connect_timeout_ns / 1e9
+        self._idle_s = idle_ns / 1e9 * IDLE_SHARE
+        self._stall_s = stall_s
+
     # --- the list
 
     def update(self, name: str, address: Address, started_ns: int, up: bool) -> None:
@@ -196,10 +202,12 @@
 
     # --- exchanges
 
-    def exchange(self, name: str, make: Callable[[], bytes], limit_s: float, ended: Ended) -> Exchange | None:
+    def exchange(
+        self, name: str, make: Callable[[], bytes], limit_s: float, ended: Ended, wrote: Wrote | None = None
+    ) -> Exchange | None:
         """A request to a server, to be started by the caller; None if the list never named it as up."""
         target = self._targets.get(name)
-        return Exchange(self, target, make, limit_s, ended) if target is not None else None
+        return Exchange(self, target, make, limit_s, ended, wrote) if target is not None else None
 
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a server."""
@@ -229,7 +237,7 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one gives way to it."""
-        if len(self._open) + self._dialling < self._most:
+        if len(self._open) + self._dialling < self.most:
             return True
         idle = [(c.idle_since, t) for t in self._targets.values() for c in t.idle[:1]]
         if not idle:
--- a/tests/backend.py
+++ b/tests/backend.py
@@ -148,17 +148,42 @@
 
     def __init__(self, sidecar: Sidecar, port: int) -> None:
         self.sidecar, self.port = sidecar, port
+        self.control = sidecar.control_port
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
+    async def operate(self, call: str) -> tuple[int, str]:
+        """One call to the operators' address, such as "GET /stats"."""
+        return await operate(self.control, call)
+
+    async def figures(self) -> dict[str, int]:
+        status, text = await self.operate("GET /stats")
+        assert status == 200
+        return figures(text)
+
+
+async def operate(port: int, call: str) -> tuple[int, str]:
+    client = Client(*await asyncio.open_connection("127.0.0.1", port))
+    await client.send(f"{call} HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n".encode())
+    status, headers, body = await client.answer()
+    assert headers["connection"] == "close" and await client.reader.read() == b""
+    client.writer.close()
+    return status, body.decode()
+
+
+def figures(text: str) -> dict[str, int]:
+    lines = (line.rpartition(" ") for line in text.splitlines() if not line.startswith("#"))
+    return {name: int(value) for name, _, value in lines}
+
 
 @contextlib.asynccontextmanager
 async def sidecar(
     *lines: dict[str, Any], discovery: int = 1, raw: dict[str, Any] | None = None, sockets: int = 1024
 ) -> AsyncIterator[World]:
     config = Config("n0", Address("127.0.0.1", 0), Address("127.0.0.1", discovery), 7, sockets,
-                    listing(*lines), Settings.parse(raw or settings(discovery="subscribe")))
+                    listing(*lines), Settings.parse(raw or settings(discovery="subscribe")),
+                    Address("127.0.0.1", 0))
     made = Sidecar(config, asyncio.get_running_loop())
     yield World(made, await made.start())
 
