--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -51,6 +51,7 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
         self._armed = False  # a tick for the held calls is due
+        self.ceded = False  # another process goes on with the cold servers
         self._stretch = 1.0  # service time over size, all servers
         self._tokens = 1.0 / RETRY_RATIO
         self._rate = 0.0  # requests of late, for each nanosecond
@@ -406,8 +407,8 @@
         answer, in credit for one call at a time. Answers and not demand, which a storm multiplies; a floor
         of the demand, lest a fleet that is cold throughout gets nothing."""
         ramp = server.ramp(now, self._set.invariants)
-        if ramp >= 1.0:
-            return True
+        if ramp >= 1.0 or self.ceded:
+            return ramp >= 1.0
         served = min(self._served, 1.0 / max(1, now - self._served_at))
         rate = ramp * max(served, self._set.invariants.cold_from * self._rate) / self._reach
         server.credit = min(1.0, server.credit + rate * (now - server.credit_at))
--- a/hollyport/config.py
+++ b/hollyport/config.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
+import tempfile
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
@@ -33,6 +36,8 @@
     known: Mapping[str, Any]
     settings: Settings
     control: Address | None = None  # where operators call
+    listen_fd: int | None = None  # the clients' socket, where the platform holds it
+    folder: str = ""  # where two processes of one sidecar find each other
     raw: Mapping[str, Any] = field(default_factory=dict)  # the file as it was read
 
 
@@ -87,6 +92,8 @@
         known=known,
         settings=settings,
         control=_address(raw, "control") if raw["control"] is not None else None,
+        listen_fd=_descriptor(env.get("NODE_LISTEN_FD")),
+        folder=env.get("TMPDIR") or tempfile.gettempdir(),
         raw=read,
     )
 
@@ -98,6 +105,20 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _descriptor(text: str | None) -> int | None:
+    """The descriptor of a listening socket that this process was started with."""
+    if not text:
+        return None
+    try:
+        number = int(text)
+        with socket.socket(fileno=os.dup(number)) as copy:
+            if not copy.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise ValueError("not a listening socket")
+    except (ValueError, OSError) as error:
+        raise ConfigError(f"NODE_LISTEN_FD: {text!r}: {error}") from None
+    return number
+
+
 def _seed(value: Any) -> int:
     try:
         return int(value, 16)
--- a/hollyport/control.py
+++ b/hollyport/control.py
@@ -26,7 +26,7 @@
 class Operated(Protocol):
     """What operators can ask of the sidecar, whatever it speaks with its clients."""
 
-    def ready(self) -> bool: ...
+    def healthy(self) -> bool: ...
 
     def figures(self) -> bytes: ...
 
@@ -73,7 +73,7 @@
             case "/stats":
                 return HTTPStatus.OK, self.operated.figures()
             case "/healthcheck":
-                if not self.operated.ready():
+                if not self.operated.healthy():
                     return HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n"
             case _:
                 self.operated.drain(path == "/healthcheck/fail")
--- a/hollyport/discovery.py
+++ b/hollyport/discovery.py
@@ -103,6 +103,11 @@
             self._watch.cancel()
         self._watch = self._loop.create_task(self._watching()) if want else None
 
+    def caught_up(self, version: int) -> None:
+        """This version of the list is known by another way: ask for what comes after it."""
+        if self._version is not None and version > self._version:
+            self._version = version
+
     def close(self) -> None:
         """Drop what is on and tell nothing of it: that this ends is no failure of discovery's."""
         self.subscribe(False)
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from hollyport.client import ClientConnection, Message
+from hollyport.config import Address
 
 BACKLOG = 1024
 BATCH = 64  # connections taken in one go, so that a flood does not keep the loop from its other work
@@ -49,6 +50,7 @@
         self._crowd = crowd
         self.stopping = False
         self.draining = False
+        self.accepting = False
         self.connections: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, float] = {}  # nothing has come yet
         self.partial: dict[ClientConnection, float] = {}  # part of a request has come
@@ -59,16 +61,39 @@
         self._socket: socket.socket | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
-    async def start(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
-        """Listen; return the port."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    def listen(self, loop: asyncio.AbstractEventLoop, address: Address, inherited: int | None) -> int:
+        """Take the socket that the platform holds, or else bind one; return the port. Nobody is let in."""
         self._loop = loop
-        self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        if inherited is not None:
+            self._socket = socket.socket(fileno=inherited)
+        else:
+            family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+            self._socket = socket.create_server(tuple(address), family=family, backlog=BACKLOG)
         self._socket.setblocking(False)
-        loop.add_reader(self._socket.fileno(), self._accept)
         loop.call_later(SWEEP_S, self._sweep)
         return int(self._socket.getsockname()[1])
 
+    def let_in(self) -> None:
+        """Accept connections from now on."""
+        if self._socket is not None and self._loop is not None and not self.accepting:
+            self.accepting = True
+            self._loop.add_reader(self._socket.fileno(), self._accept)
+
+    def leave(self) -> None:
+        """Accept no more, and leave what stands in the queue to the socket's other holders: it is closed here
+        and never shut down, which would end it for all of them."""
+        if self._socket is not None and self._loop is not None:
+            self.accepting = False
+            self._loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
+
+    def resize(self, most: int, crowd: int) -> None:
+        """Another share of the descriptors: connections beyond it go, as far as they may."""
+        self.most, self._crowd = most, crowd
+        while self._loop is not None and len(self.connections) > most and self._make_room():
+            pass
+
     def last_requests(self) -> None:
         """From now on each answer closes its connection."""
         self.stopping = True
@@ -77,13 +102,13 @@
         """From now on each answer closes its connection, and what is idle goes; or no longer. Told twice, the
         drain that is on goes on."""
         assert self._loop is not None
-        if on and not self.draining and self._socket is not None:
+        if on and not self.draining:
             self._loop.call_later(DRAIN_S, self._empty)
         self.draining = on
 
     def _empty(self) -> None:
         """Close what is idle, again and again: a client may open a connection until it has heard the no."""
-        if not self.draining or self._socket is None or self._loop is None:
+        if not self.draining or self._loop is None:
             return
         now = self._loop.time()
         for queue in (self.silent, self.visitors, self.kept):
@@ -98,12 +123,9 @@
 
     def close(self) -> None:
         """Listen no more, and close what is between requests. What the machine has accepted is taken."""
-        while self._socket is not None and self._take():
+        while self.accepting and self._take():
             pass
-        if self._socket is not None and self._loop is not None:
-            self._loop.remove_reader(self._socket.fileno())
-            self._socket.close()
-            self._socket = None
+        self.leave()
         for connection in [*self.silent, *self.visitors, *self.kept]:
             if connection.quiet():
                 connection.close()
@@ -151,12 +173,12 @@
             made.close()  # the client is gone, or descriptors are
 
     def _pause(self) -> None:
-        if self._socket is not None and self._loop is not None:
+        if self.accepting and self._socket is not None and self._loop is not None:
             self._loop.remove_reader(self._socket.fileno())
             self._loop.call_later(PAUSE_S, self._go_on)
 
     def _go_on(self) -> None:
-        if self._socket is not None and self._loop is not None:
+        if self.accepting and self._socket is not None and self._loop is not None:
             self._loop.add_reader(self._socket.fileno(), self._accept)
             self._accept()
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -12,7 +12,9 @@
 import time
 import traceback
 from collections import deque
+from typing import Any
 
+from dunefield import memory
 from dunefield.interface import (
     NEVER_RAN,
     Accept,
@@ -45,9 +47,10 @@
 from hollyport.config import Address, Config
 from hollyport.connection import Reply
 from hollyport.control import Control
-from hollyport.discovery import Discovery, Listing, read_listing
+from hollyport.discovery import Discovery, Line, Listing, read_listing
 from hollyport.listener import Listener
 from hollyport.stats import Gauges, Stats
+from hollyport.takeover import Takeover, packed, unpacked
 from hollyport.upstream import Exchange, Upstream
 
 MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
@@ -113,14 +116,11 @@
         self._inbox: deque[Event] = deque()
         self._handling = False
         limits = settings.limits
-        # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
-        # Clients may hold a third of all for requests; as many again are left to those that send none.
-        clients = (config.sockets - RESERVE) * 2 // 3
-        self._upstream = Upstream(
-            loop, limits.connect_timeout_ns, limits.conn_idle_ns, config.sockets - clients - RESERVE,
-            _stall_s(settings),
-        )
-        self._listener = Listener(self, clients, config.sockets // 4)
+        self._upstream = Upstream(loop, limits.connect_timeout_ns, limits.conn_idle_ns, 0, _stall_s(settings))
+        self._listener = Listener(self, 0, 0)
+        self.share(1)
+        self._lines: dict[str, Line] = {}  # the list as it was told last
+        self._index = -1
         known = read_listing(config.known, settings)
         self._discovery = Discovery(loop, config.discovery, settings, known.version, self._told)
         self._module = Balancer(settings, config.seed, self._clock())
@@ -128,6 +128,10 @@
         self._pushed = None if settings.must_ask else loop.create_task(self._discovery.follow())
         self._control = Control(self)
         self.control_port = 0
+        self._takeover: Takeover | None = None
+        self._ceded = False
+        self._serving: asyncio.Task[None] | None = None
+        self._open = False  # to clients, or would be but for the process before
         self._probes_by(settings)
 
     def _probes_by(self, settings: Settings) -> None:
@@ -140,10 +144,18 @@
 
     async def start(self) -> int:
         """Listen for the application, and for operators where an address is named; return the first port."""
-        listen, control = self._config.listen, self._config.control
-        if control is not None:
-            self.control_port = await self._control.start(self._loop, control)
-        return await self._listener.start(self._loop, listen.host, listen.port)
+        config, loop = self._config, self._loop
+        if config.control is not None:
+            self.control_port = await self._control.start(loop, config.control)
+        port = self._listener.listen(loop, config.listen, config.listen_fd)
+        wait = False
+        if config.listen_fd is not None:
+            self._takeover = Takeover(self, loop, config.folder)
+            wait = await self._takeover.find()
+        self._open = True
+        if not wait:
+            self.open_up()
+        return port
 
     async def stop(self) -> None:
         """Take requests for as long as they may come, answer all of them, and close what is idle.
@@ -151,6 +163,10 @@
         Protects requests in the listen queue: the machine has accepted those connections, so the loop must
         have read them before the socket closes.
         """
+        if self._takeover is not None:
+            # The queue outlives this process: what stands in it is the next one's.
+            self._listener.leave()
+            self._ceded = self._module.ceded = self._takeover.cede()
         self._listener.last_requests()
         await asyncio.sleep(KEEP_ACCEPTING_S)
         # All that was taken is answered by its deadline; a request that never comes in whole was not taken.
@@ -160,6 +176,8 @@
             await asyncio.sleep(LOOK_S)
             self._listener.close()
         self._control.close()
+        if self._takeover is not None:
+            self._takeover.close()
 
     def reconfigure(self, config: Config) -> None:
         """Take over a configuration that has been checked, whole and in one turn of the loop."""
@@ -205,6 +223,63 @@
         else:
             self._pushed = self._loop.create_task(self._discovery.follow())
 
+    # --- Takeover's Half
+
+    def share(self, processes: int) -> None:
+        """Keep to a part of the limits: so many processes are one sidecar."""
+        sockets = self._config.sockets // processes
+        # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
+        # Clients may hold a third of all for requests; as many again are left to those that send none.
+        clients = max(1, (sockets - RESERVE) * 2 // 3)
+        self._listener.resize(clients, sockets // 4)
+        self._upstream.resize(max(1, sockets - clients - RESERVE))
+
+    def open_up(self) -> None:
+        """Let clients in, and let the next process find this one."""
+        self._listener.let_in()
+        if self._takeover is not None:
+            print("takeover: clients are taken here", file=sys.stderr, flush=True)
+            self._serving = self._loop.create_task(self._takeover.serve())
+
+    def state(self) -> dict[str, Any]:
+        """What another process needs to go on as this sidecar."""
+        now = self._loop.time()
+        listing = Listing(self._index, True, tuple(self._lines.values()))
+        return {
+            "list": packed(listing),
+            "ids": [[rid.decode("latin-1"), now - at] for rid, at in self._ids.items()],
+            "memory": memory.told(self._module, self._clock()),
+        }
+
+    def adopt(self, state: dict[str, Any]) -> None:
+        """Go on where the process before stands. Each part is checked whole, and left aside if it is none."""
+        listed = state.get("list")
+        self.hear({**(listed if isinstance(listed, dict) else {}), "kind": "list"})
+        now = self._loop.time()
+        try:
+            ids = {str(rid).encode("latin-1"): now - float(age) for rid, age in state["ids"]}
+        except (KeyError, TypeError, ValueError) as error:
+            print(f"takeover: ids left aside: {error!r:.200}", file=sys.stderr, flush=True)
+            ids = {}
+        ids.update(self._ids)
+        self._ids = dict(sorted(ids.items(), key=lambda pair: pair[1]))
+        if not memory.recall(self._module, self._clock(), state.get("memory")):
+            print("takeover: memory left aside", file=sys.stderr, flush=True)
+
+    def hear(self, frame: dict[str, Any]) -> None:
+        """News from the other process of this sidecar: what it was told or has taken counts here, too."""
+        if frame.get("kind") == "id":
+            self._ids.setdefault(str(frame.get("id")).encode("latin-1", "replace"), self._loop.time())
+        elif frame.get("kind") == "list":
+            try:
+                listing = unpacked(frame)
+            except ValueError as error:
+                print(f"takeover: list left aside: {error!s:.200}", file=sys.stderr, flush=True)
+                return
+            if listing.version > self._index:
+                self._take_list(listing, "SAVED")
+                self._discovery.caught_up(listing.version)
+
     # --- events in
 
     def deliver(self, event: Event) -> None:
@@ -241,11 +316,19 @@
     # --- Listener's Service
 
     def ready(self) -> bool:
-        """Whether requests can be served."""
-        return self._upstream.any_up() and not self._listener.last_answers()
+        """Whether requests can be served, by this process or by the one that has taken over from it."""
+        ceded = self._takeover is not None and self._ceded and self._takeover.linked()
+        return self._upstream.any_up() and (ceded or not self._listener.last_answers())
 
     # --- Control's Operated
 
+    def healthy(self) -> bool:
+        """Whether this process is ready to serve."""
+        yes = self._open and self._upstream.any_up() and not self._listener.last_answers()
+        if yes and self._takeover is not None:
+            self._takeover.said_yes()
+        return yes
+
     def figures(self) -> bytes:
         """The figures as text."""
         listed, down = self._module.census(self._clock())
@@ -292,7 +375,12 @@
             if now - ids[oldest] < self._id_life_s:
                 break
             del ids[oldest]
-        return rid not in ids and ids.setdefault(rid, now) == now
+        if rid in ids:
+            return False
+        ids[rid] = now
+        if self._takeover is not None and self._takeover.linked():
+            self._takeover.tell("id", id=rid.decode("latin-1"))
+        return True
 
     def _beat(self) -> None:
         stalled = self._stalled()
@@ -463,6 +551,8 @@
             self.deliver(Directory("FAILED"))
         else:
             self._take_list(listing, "FULL" if listing.whole else "INCREMENTAL")
+            if self._takeover is not None and self._takeover.linked():
+                self._takeover.tell("list", **packed(Listing(self._index, True, tuple(self._lines.values()))))
 
     def _take_list(self, listing: Listing, scope: str) -> None:
         for entry, address in listing.lines:
@@ -471,7 +561,15 @@
             else:
                 self._upstream.update(entry.server, address, entry.started_ns, entry.lifecycle == "up")
         if scope != "INCREMENTAL":
-            self._upstream.keep_only({line.entry.server for line in listing.lines})
+            names = {line.entry.server for line in listing.lines}
+            self._upstream.keep_only(names)
+            self._lines = {name: line for name, line in self._lines.items() if name in names}
+        for line in listing.lines:
+            if line.entry.lifecycle == "removed":
+                self._lines.pop(line.entry.server, None)
+            else:
+                self._lines[line.entry.server] = line
+        self._index = listing.version
         self.deliver(Directory(scope, tuple(line.entry for line in listing.lines), listing.version))
 
 
--- a/hollyport/upstream.py
+++ b/hollyport/upstream.py
@@ -161,6 +161,15 @@
         self._idle_s = idle_ns / 1e9 * IDLE_SHARE
         self._stall_s = stall_s
 
+    def resize(self, most: int) -> None:
+        """Another share of the descriptors: idle connections beyond it go."""
+        self.most = most
+        for target in self._targets.values():
+            while target.idle and len(self._open) > most:
+                connection = target.idle.pop(0)
+                self._open.discard(connection)
+                connection.close()
+
     # --- the list
 
     def update(self, name: str, address: Address, started_ns: int, up: bool) -> None:
