--- a/hollyport/client.py
+++ b/hollyport/client.py
@@ -507,6 +507,10 @@
         """Whether an answer is owed."""
         return self._active is not None or bool(self._waiting)
 
+    def owing(self) -> bool:
+        """Whether the request that is coming in is already on its way to a server, or we are slow to read."""
+        return self._stream is not None or self._paused
+
     def quiet(self) -> bool:
         """Whether nothing that was sent here is left unread.
 
--- a/hollyport/listener.py
+++ b/hollyport/listener.py
@@ -25,7 +25,7 @@
 # sends as soon as it is connected, and its bytes would be in the kernel by now.
 HUSH_S = 0.1
 HURRY_S = 0.5  # so is one between requests, when it is the last resort
-SLOW_S = 1.0  # and so is one that has been sending a request for so long
+HALT_S = 0.3  # and so is one that has stopped in the middle of a request
 
 
 class Service(Protocol):
@@ -125,30 +125,37 @@
         return self.stopping or self.draining
 
     def close(self) -> None:
-        """Listen no more, and close what is between requests. What the machine has accepted is taken."""
-        while self.accepting and self._take():
-            pass
-        self.leave()
+        """Listen no more, and close what is between requests. What the machine has accepted is taken: where
+        there is no room for all of it yet, this is to be called again."""
+        while self.accepting and (self._room() or self._make_room()):
+            taken = self._take()
+            if taken is False:
+                self.leave()  # only now: what stands in the queue of a closed socket is reset
+            if not taken:
+                break
         for connection in [*self.silent, *self.visitors, *self.kept]:
             if connection.quiet():
                 connection.close()
 
     def busy(self) -> bool:
         """Whether a connection is left that owes an answer or may hold an unread request."""
-        return bool(self._opening) or len(self.connections) > len(self.leaving)
+        return self.accepting or bool(self._opening) or len(self.connections) > len(self.leaving)
 
     # --- letting in
 
     def _accept(self) -> None:
         for _ in range(BATCH):
-            if len(self.connections) + len(self._opening) >= self.most and not self._make_room():
+            if not self._room() and not self._make_room():
                 self._pause()
                 return
             if not self._take():
                 return
 
-    def _take(self) -> bool:
-        """Accept one connection; False if there is none, or no descriptor for it."""
+    def _room(self) -> bool:
+        return len(self.connections) + len(self._opening) < self.most
+
+    def _take(self) -> bool | None:
+        """Accept one connection; False if there is none, None if there is no descriptor for it."""
         assert self._socket is not None and self._loop is not None
         try:
             made, _ = self._socket.accept()
@@ -158,7 +165,7 @@
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 # The queue stays readable: without a pause this would be called again and again.
                 self._pause()
-                return False
+                return None
             return True  # that one client is gone already
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
@@ -202,8 +209,10 @@
                 if queue is self.leaving or connection.quiet():
                     self._end(connection)
                     return True
-        for connection, since in list(self.partial.items()):
-            if now - since >= SLOW_S and connection.quiet():
+        # Those that are still writing are the usual client's, however slow; a crowd sends half and stops.
+        halted = [c for c in self.partial if now - c.heard >= HALT_S and not c.owing()]
+        for connection in sorted(halted, key=lambda c: c.heard):
+            if connection.quiet():
                 connection.time_out()
                 self._end(connection)
                 return True
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -57,6 +57,7 @@
 MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
 GUARD_NS = 5_000_000  # and the last guard between the two
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
+LIVE_ON_S = 3.0  # past that the platform does not wait, however long the deadlines
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
 BEAT_S = 0.02  # how often the loop shows that it runs
 MOST_LOAD = 1e5  # a report of more is none
@@ -138,6 +139,7 @@
         self.control_port = 0
         self._takeover: Takeover | None = None
         self._ceded = False
+        self._until: float | None = None  # when this process ends, once that is known
         self._serving: asyncio.Task[None] | None = None
         self._open = False  # to clients, or would be but for the process before
         self._probes_by(settings)
@@ -175,10 +177,10 @@
             # The queue outlives this process: what stands in it is the next one's.
             self._listener.leave()
             self._ceded = self._module.ceded = self._takeover.cede()
+        # All that was taken is answered by then; a request that never comes in whole was not taken.
+        self._until = latest = self._loop.time() + KEEP_ACCEPTING_S + min(self._longest_ns / 1e9, LIVE_ON_S)
         self._listener.last_requests()
         await asyncio.sleep(KEEP_ACCEPTING_S)
-        # All that was taken is answered by its deadline; a request that never comes in whole was not taken.
-        latest = self._loop.time() + self._longest_ns / 1e9
         self._listener.close()
         while self._listener.busy() and self._loop.time() < latest:
             await asyncio.sleep(LOOK_S)
@@ -364,7 +366,7 @@
         self._taken += 1
         message.tid = tid = str(self._count)
         # It may have waited behind another, or unread while this process stood still for want of CPU.
-        wait = asked.wait_ns - int((now - message.came + self._stalled()) * 1e9)
+        wait = self._outlived(asked.wait_ns - int((now - message.came + self._stalled()) * 1e9), now)
         request = self._requests[tid] = Request(tid, message, asked.kind)
         request.wait_ns = wait
         if message.complete:
@@ -378,9 +380,13 @@
         """The last byte of a request that goes out as it comes in: from here on its client's time counts."""
         request = self._requests.get(message.tid)
         if request is not None and not request.over:
-            request.wait_ns -= int(self._stalled() * 1e9)
+            request.wait_ns = self._outlived(request.wait_ns - int(self._stalled() * 1e9), message.came)
             request.guard = self._loop.call_later((request.wait_ns - GUARD_NS) / 1e9, self._guard, request)
 
+    def _outlived(self, wait_ns: int, now: float) -> int:
+        """How long a request may wait: its client's time, or what is left of this process's."""
+        return wait_ns if self._until is None else min(wait_ns, int((self._until - now) * 1e9))
+
     def _new_id(self, rid: bytes, now: float) -> bool:
         """Whether no request with this id is open or was lately.
 
