--- a/dunefield/crowding.py
+++ b/dunefield/crowding.py
@@ -11,6 +11,7 @@
 CROWDED = 0.4  # crowding from which calls are shed
 JAMMED = 4.0  # crowding that one call's finding counts for at most
 MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
+DOUBT = 4.0  # own answers that count for one finding: work varies, and two slow ones in a row are chance
 SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
 SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
 
@@ -58,7 +59,7 @@
     def felt(self, now: int, slow: bool) -> None:
         """An own answer was slow or was not, where nothing else tells. Only whether, not how much: a server
         that stands still or keeps silent says nothing of the rest."""
-        self.level += (slow - self.level) * GAIN
+        self.level += (slow - self.level) * GAIN / DOUBT
         self._at = now
 
     def sheds(self, now: int, number: int, out: int, flow: float, draw: float) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -379,3 +379,13 @@
         if number % 2 and out:
             b.handle(now + 2, outcome(out.pop(), lag_ns=2 * MS))
     assert next(iter(b._servers.values())).k > 1
+
+
+def test_a_few_slow_answers_in_a_row_are_chance_and_refuse_nobody():
+    """Found on the operators' days: work varies, and a tenth of all calls were refused by an idle fleet."""
+    b = balancer(servers=4, limits={"cancel": True})
+    _, now = serve(b, 0, 60, 20 * MS)
+    for _ in range(20):  # three of ten answers are slow, three of them in a row
+        slow, now = serve(b, now, 3, 45 * MS, prefix=f"slow{now}-")
+        usual, now = serve(b, now, 7, 20 * MS, prefix=f"usual{now}-")
+        assert slow == usual == 0
