--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -4,9 +4,15 @@
 
 import asyncio
 import contextlib
+import os
+import resource
+import signal
+import sys
+from pathlib import Path
 
 import pytest
-from backend import Call, Client, Conversation, Server, line, ok, play, sidecar
+from backend import LIMIT_S, Call, Client, Conversation, Server, line, listing, ok, operate, play, sidecar
+from test_process import ROOT, config, free_port, written
 
 from hollyport import listener
 from hollyport import sidecar as core
@@ -118,3 +124,33 @@
         async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
             assert (await write_slowly(world, 2 * pause, pieces=2))[0] == 200
     play(scene)
+
+
+def test_operators_and_clients_are_answered_with_descriptors_at_their_limit(tmp_path):
+    """A process that may open 64, hundreds that connect: none is ever missing where it is needed."""
+    async def scene():
+        port, control, most = free_port(), free_port(), 64
+        async with Server(ok) as server:
+            raw = config(listen=f"127.0.0.1:{port}", control=f"127.0.0.1:{control}",
+                         known=listing(line("s1", server.port)), limits={"sockets": most})
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "hollyport", cwd=ROOT, env={**os.environ, **written(tmp_path, raw)},
+                stderr=asyncio.subprocess.PIPE,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)))
+            assert b"listening" in await process.stderr.readline()
+            idle = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(200)]
+            silent = [Client(*await asyncio.open_connection("127.0.0.1", control)) for _ in range(30)]
+            for number in range(5):
+                start = asyncio.get_running_loop().time()
+                assert (await operate(control, "GET /stats"))[0] == 200
+                assert asyncio.get_running_loop().time() - start < 1.0
+                client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                assert (await client.ask("single_shot", f"r{number}"))[0] == 200
+                assert len(list(Path(f"/proc/{process.pid}/fd").iterdir())) <= most
+                client.writer.close()
+            for client in idle + silent:
+                client.writer.transport.abort()
+            process.send_signal(signal.SIGTERM)
+            _, errors = await asyncio.wait_for(process.communicate(), LIMIT_S)
+            assert process.returncode == 0 and b"Traceback" not in errors and b"Too many open" not in errors
+    play(scene)
