Split the sidecar into a core that knows no HTTP, an HTTP/1.1 package and the platform's parts

Need: other protocols and per-route limits have to sit on the same calls, guards and decisions, and `Sidecar` was one class of 550 lines that took the HTTP message, with client and listener importing each other.

--- a/dunefield/interface.py
+++ b/dunefield/interface.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 SECOND = 1_000_000_000
 
@@ -32,6 +32,30 @@
 """Outcomes that prove the attempt had no effect."""
 
 
+class RetryBudget(Protocol):
+    """A share of further attempts that several calls have in common. Pure: its clock is handed in."""
+
+    def spend(self, now: int) -> bool:
+        """Take one further attempt out of the budget; False, and nothing is taken, where there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What operators have set for a call, besides its class. The module decides within it; it may only make
+    a call stricter, and what a class or the site forbids stays forbidden."""
+
+    attempts: int = 0
+    """Attempts in all; 0 for the settings' own maximum."""
+    try_ns: int = 0
+    """How long one attempt may take; 0 for as long as the call has."""
+    copy_after_ns: int = 0
+    """After how long without an outcome a second attempt joins the first; 0 for never."""
+    retry_on: frozenset[int] | None = None
+    """The outcomes after which there may be another attempt; None for all that the class allows."""
+    budget: RetryBudget | None = None
+    """What further attempts are taken from, besides the module's own; None for no other."""
+
+
 class SettingsError(ValueError):
     """The settings object cannot be used; the message names the key."""
 
@@ -287,6 +311,8 @@
     write: bool = False
     kind: RequestClass | None = None
     """The class it was taken with, where the settings' class at `cls` is another by now."""
+    bounds: Bounds | None = None
+    """What its route has to keep within, where operators have set anything."""
 
 
 class Response(NamedTuple):
--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -14,8 +14,8 @@
 
 import uvloop
 
-from hollyport.config import Config, ConfigError, load
-from hollyport.reload import fixed, read_again
+from hollyport.platform.config import Config, ConfigError, load
+from hollyport.platform.reload import fixed, read_again
 from hollyport.sidecar import Sidecar
 
 
--- a/hollyport/admission.py
+++ b/hollyport/http1/admission.py
@@ -4,10 +4,10 @@
 
 import math
 import re
-from typing import NamedTuple
 
 from dunefield.interface import RequestClass, Settings
-from hollyport.client import Message
+from hollyport.core.ports import Asked
+from hollyport.http1.message import Message
 
 ID = re.compile(rb"[!-~]{1,256}")
 OLD_FORM_S = 2.0  # how long the form that held before new settings is still taken: clients follow 1.2 s later
@@ -15,20 +15,6 @@
 ONCE = (b"x-request-id", b"x-timeout", b"idempotency-key", b"x-tenant-id")
 
 
-class Admission(NamedTuple):
-    """A request that can be used."""
-
-    rid: bytes
-    cls: int  # its place in the settings, -1 where they no longer name it so
-    kind: RequestClass
-    wait_ns: int  # for how long the client waits, from when it sent the request
-    cost_ns: int
-    tenant: int
-    key: str
-    retry: bool
-    write: bool
-
-
 class Gate:
     """Reads requests by the settings. Protects the servers, which turn away what they can't use and close
     the connection on what they can't read: nothing of that kind may reach them."""
@@ -42,7 +28,7 @@
             self._before.update({name: (-1, c) for name, (_, c) in before._classes.items()})
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
-    def admit(self, message: Message, now: float) -> Admission | int:
+    def admit(self, message: Message, now: float) -> Asked | int:
         """Read a request; the status for one that can't be used.
 
         Method and key tell how a request may be repeated, so one that was sent by the settings before is
@@ -73,7 +59,7 @@
                 return 400
             wait = min(wait, int(seconds * 1e9))
         cost = _number(told.get(b"x-cost"))
-        return Admission(
+        return Asked(
             rid,
             number,
             cls,
--- a/hollyport/client.py
+++ b/hollyport/http1/client.py
@@ -10,14 +10,12 @@
 import sys
 import traceback
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 import httptools
 
-from hollyport.flow import Body, Source
-
-if TYPE_CHECKING:
-    from hollyport.listener import Listener
+from hollyport.core.flow import Body, Budget, Source
+from hollyport.http1.message import Headers, Message, head
 
 MAX_BODY = 33 << 20  # of a request; 32 MB are promised
 PASS_PIECE = 64 * 1024  # and in a body that goes out as it comes in, which begins nothing
@@ -29,63 +27,45 @@
 BODY_S = 4.0  # how long a body may take besides its time at the slowest rate
 SLOWEST = 32 * 1024  # bytes a second
 AHEAD = 8  # requests read ahead of the answer before; the rest waits unparsed or in the kernel
-REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-    503: "Service Unavailable", 504: "Gateway Timeout",
-}
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
 NO_LINGER = struct.pack("ii", 1, 0)
 DIGITS = re.compile(rb"[0-9]{1,18}")
-Headers = list[tuple[bytes, bytes]]
 
 
-class Message:
-    """One request as it came, and where its one answer goes."""
+Queue = dict["ClientConnection", float]
+
+
+class Service(Protocol):
+    """What the connections need of the sidecar."""
+
+    def ready(self) -> bool: ...
+
+    def request(self, message: Message) -> None: ...
 
-    __slots__ = (
-        "method", "target", "headers", "body", "stream", "complete", "chunks", "keep_alive", "connection",
-        "came", "tid",
-    )
+    def complete(self, message: Message) -> None: ...
 
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.method = self.target = self.body = b""
-        self.headers: Headers = []
-        self.stream: Body | None = None  # a body that goes out as it comes in
-        self.complete = False  # its last byte has come
-        self.chunks = True  # whether the client can read chunks
-        self.keep_alive = True
-        self.came = 0.0  # when its last byte was read, by the loop's clock
-        self.tid = ""  # for the owner: which request this became
+    def hangup(self, message: Message) -> None: ...
 
-    def header(self, name: bytes) -> bytes | None:
-        """The first header of this lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
 
-    def all(self, name: bytes) -> list[bytes]:
-        """All headers of this lower-case name."""
-        return [value for key, value in self.headers if key == name]
+class Desk(Protocol):
+    """What a connection needs of the listener that let it in. It stands in at most one queue there."""
 
-    def answer(self, status: int, body: bytes = b"", headers: Headers | None = None) -> None:
-        """Send the answer. A second one is ignored, as is one to a client that has left."""
-        self.connection.answer(self, status, body, headers or [])
+    service: Service
+    budget: Budget
+    partial: Queue  # part of a request has come
+    kept: Queue  # between requests
+    visitors: Queue  # have asked for readiness and nothing else
+    leaving: Queue  # had its last answer
 
-    def begin(self, status: int, headers: Headers, length: int | None, source: Source) -> bool:
-        """Begin an answer that is passed on as it comes; whether there is a client for it."""
-        return self.connection.begin_answer(self, status, headers, length, source)
+    def made(self, connection: ClientConnection) -> None: ...
 
-    def pass_on(self, data: bytes) -> None:
-        """Some more of it."""
-        self.connection.pass_on(self, data)
+    def lost(self, connection: ClientConnection) -> None: ...
 
-    def end(self, whole: bool) -> None:
-        """No more of it; if it is not whole, the client gets to see that."""
-        self.connection.end_answer(self, whole)
+    def move(self, connection: ClientConnection, queue: Queue | None) -> None: ...
+
+    def crowded(self) -> bool: ...
+
+    def last_answers(self) -> bool: ...
 
 
 class Refused(Exception):
@@ -95,7 +75,7 @@
 class ClientConnection(asyncio.Protocol):
     """One connection of the application."""
 
-    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, listener: Desk, loop: asyncio.AbstractEventLoop) -> None:
         self._listener, self._loop = listener, loop
         self.place: dict[ClientConnection, float] | None = None  # the listener's queue that it stands in
         self.accepted = loop.time()
@@ -358,11 +338,11 @@
         self._listener.move(self, None if message.complete else self._listener.partial)
         path = message.target.partition(b"?")[0]
         if path == b"/-/ready":
-            message.answer(200 if self._listener.service.ready() else 503)
+            message.reply(200 if self._listener.service.ready() else 503)
         elif path.startswith(b"/-/"):
-            message.answer(404)
+            message.reply(404)
         elif message.method not in (b"GET", b"POST"):
-            message.answer(405, headers=[(b"Allow", b"GET, POST")])
+            message.reply(405, headers=[(b"Allow", b"GET, POST")])
         else:
             self._asked = True
             try:
@@ -370,10 +350,10 @@
             except Exception:
                 # Raised through the parser it would pass for bad HTTP, and leave no trace.
                 traceback.print_exc(file=sys.stderr)
-                message.answer(500)
+                message.reply(500)
 
     def answer(self, message: Message, status: int, body: bytes, headers: Headers) -> None:
-        """See Message.answer."""
+        """See Message.reply."""
         transport = self._transport
         if message is not self._active or transport is None:
             return
@@ -549,7 +529,7 @@
         message = self._active
         if message is not None:
             self._listener.service.hangup(message)
-            message.answer(self._error)
+            message.reply(self._error)
 
     def close(self) -> None:
         """Close; with an answer that the client does not read, a mere close would never come to its end."""
@@ -571,16 +551,3 @@
         return target
     at = target.find(b"/", 7)
     return target[at:] if at >= 0 else b"/"
-
-
-def head(status: int, length: int | None, headers: Headers, keep_alive: bool, chunked: bool = False) -> bytes:
-    """The head of an answer."""
-    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Unknown").encode())]
-    if chunked:
-        lines.append(b"Transfer-Encoding: chunked\r\n")
-    elif length is not None:
-        lines.append(b"Content-Length: %d\r\n" % length)
-    lines += [b"%s: %s\r\n" % pair for pair in headers]
-    if not keep_alive:
-        lines.append(b"Connection: close\r\n")
-    return b"".join(lines) + b"\r\n"
--- a/hollyport/connection.py
+++ b/hollyport/http1/connection.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from hollyport.flow import RECEIVE, Body, Budget, Sink
+from hollyport.core.flow import RECEIVE, Body, Budget, Sink
 
 MAX_BODY = 33 << 20  # of an answer that is passed on; 32 MB are promised
 MAX_KEPT = 1 << 20  # of one that is not
--- a/hollyport/listener.py
+++ b/hollyport/http1/listener.py
@@ -5,11 +5,10 @@
 import asyncio
 import errno
 import socket
-from typing import Protocol
 
-from hollyport.client import ClientConnection, Message
-from hollyport.config import Address
-from hollyport.flow import RECEIVE, Budget
+from hollyport.core.address import Address
+from hollyport.core.flow import RECEIVE, Budget
+from hollyport.http1.client import ClientConnection, Queue, Service
 
 BACKLOG = 1024
 BATCH = 64  # connections taken in one go, so that a flood does not keep the loop from its other work
@@ -28,18 +27,6 @@
 HALT_S = 0.3  # and so is one that has stopped in the middle of a request
 
 
-class Service(Protocol):
-    """What the connections need of the sidecar."""
-
-    def ready(self) -> bool: ...
-
-    def request(self, message: Message) -> None: ...
-
-    def complete(self, message: Message) -> None: ...
-
-    def hangup(self, message: Message) -> None: ...
-
-
 class Listener:
     """The listening socket and all connections that came in by it.
 
@@ -55,11 +42,11 @@
         self.draining = False
         self.accepting = False
         self.connections: set[ClientConnection] = set()
-        self.silent: dict[ClientConnection, float] = {}  # nothing has come yet
-        self.partial: dict[ClientConnection, float] = {}  # part of a request has come
-        self.kept: dict[ClientConnection, float] = {}  # between requests
-        self.visitors: dict[ClientConnection, float] = {}  # have asked for readiness and nothing else
-        self.leaving: dict[ClientConnection, float] = {}  # had its last answer
+        self.silent: Queue = {}  # nothing has come yet
+        self.partial: Queue = {}  # part of a request has come
+        self.kept: Queue = {}  # between requests
+        self.visitors: Queue = {}  # have asked for readiness and nothing else
+        self.leaving: Queue = {}  # had its last answer
         self._opening: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -238,7 +225,7 @@
         self.connections.discard(connection)
         self.move(connection, None)
 
-    def move(self, connection: ClientConnection, queue: dict[ClientConnection, float] | None) -> None:
+    def move(self, connection: ClientConnection, queue: Queue | None) -> None:
         """Put a connection at the end of a queue, or in none. A request that is coming in keeps its time."""
         assert self._loop is not None
         place = connection.place
@@ -269,7 +256,7 @@
         self._loop.call_later(SWEEP_S, self._sweep)
 
 
-def _older(queue: dict[ClientConnection, float], than: float) -> list[ClientConnection]:
+def _older(queue: Queue, than: float) -> list[ClientConnection]:
     """Those at the front of a queue that have stood there since before `than`."""
     found = []
     for connection, since in queue.items():
--- a/hollyport/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 
 from dunefield.interface import How
-from hollyport.config import Address
-from hollyport.connection import Begin, Connection, Reply, Wrote
-from hollyport.flow import Body, Budget, Sink
+from hollyport.core.address import Address
+from hollyport.core.flow import Body, Budget, Sink
+from hollyport.http1.connection import Begin, Connection, Reply, Wrote
 
 OWN_WANT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP_S = 1.0  # how often idle connections are looked through
--- /dev/null
+++ b/hollyport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's own parts: configuration, discovery, the operators' address, reload and takeover."""
--- a/hollyport/config.py
+++ b/hollyport/platform/config.py
@@ -8,22 +8,16 @@
 import tempfile
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any
 
 from dunefield.interface import Settings, SettingsError
+from hollyport.core.address import Address, parse_address
 
 
 class ConfigError(ValueError):
     """The configuration cannot be used; the message names the key."""
 
 
-class Address(NamedTuple):
-    """A host, as an IP literal, and a port."""
-
-    host: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that one sidecar is told."""
@@ -42,16 +36,6 @@
     raw: Mapping[str, Any] = field(default_factory=dict)  # the file as it was read
 
 
-def parse_address(text: Any) -> Address:
-    """Read "host:port"; raise ValueError on anything else."""
-    if not isinstance(text, str):
-        raise ValueError(f"not an address: {text!r}")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise ValueError(f"not an address: {text!r}")
-    return Address(host.strip("[]"), int(port))
-
-
 def load(env: Mapping[str, str], again: bool = False) -> Config:
     """Read the configuration; single variables win over the file that NODE_CONFIG names.
 
--- a/hollyport/control.py
+++ b/hollyport/platform/control.py
@@ -10,8 +10,8 @@
 
 import httptools
 
-from hollyport.client import head
-from hollyport.config import Address
+from hollyport.core.address import Address
+from hollyport.http1.message import head
 
 MOST = 8  # connections at a time; their descriptors are out of the program's reserve
 MAX_CALL = 8 * 1024  # bytes of one call, its body included
--- a/hollyport/discovery.py
+++ b/hollyport/platform/discovery.py
@@ -11,8 +11,8 @@
 from typing import Any, NamedTuple
 
 from dunefield.interface import Entry, Settings
-from hollyport.config import Address, parse_address
-from hollyport.connection import Connection, Reply
+from hollyport.core.address import Address, parse_address
+from hollyport.http1.connection import Connection, Reply
 
 GRACE_S = 2.0  # how much longer than it may wait a call is waited for
 MAX_LIST = 4 << 20  # bytes of one list
--- a/hollyport/takeover.py
+++ b/hollyport/platform/takeover.py
@@ -15,8 +15,8 @@
 from typing import Any, Protocol, cast
 
 from dunefield.interface import Entry
-from hollyport.config import Address
-from hollyport.discovery import Line, Listing
+from hollyport.core.address import Address
+from hollyport.platform.discovery import Line, Listing
 
 VERSION = 1
 NAME = "takeover.sock"
--- a/tests/backend.py
+++ b/tests/backend.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from dunefield import Settings
-from hollyport.config import Address, Config
+from hollyport.core.address import Address
+from hollyport.platform.config import Config
 from hollyport.sidecar import Sidecar
 
 IDS = itertools.count(1000)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -14,9 +14,9 @@
 from backend import LIMIT_S, Call, Client, Conversation, Server, line, listing, ok, operate, play, sidecar
 from test_process import ROOT, config, free_port, written
 
-from hollyport import listener
 from hollyport import sidecar as core
-from hollyport.listener import HALT_S
+from hollyport.http1 import listener
+from hollyport.http1.listener import HALT_S
 
 SLOW = b"GET /free HTTP/1.1\r\nHost: app\r\nX-Request-ID: slow\r\nX-Timeout: 5\r\nX-Pad: pppppppppp\r\n\r\n"
 HALVES = (b"", b"GET /fr", b"GET /free HTTP/1.1\r\nHost: app\r\nX-Req", b"\r\n", b"POST /single")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,7 +13,7 @@
 import pytest
 from backend import LIMIT_S, Call, Client, Conversation, Server, line, listing, play, settings
 
-from hollyport.config import ConfigError, load
+from hollyport.platform.config import ConfigError, load
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -16,9 +16,9 @@
 from test_process import LIMIT_S, config, free_port
 
 from dunefield import Directory, Entry, Submit, memory
-from hollyport import takeover
-from hollyport.config import ConfigError, load
-from hollyport.takeover import LENGTH, Takeover
+from hollyport.platform import takeover
+from hollyport.platform.config import ConfigError, load
+from hollyport.platform.takeover import LENGTH, Takeover
 
 ROOT = Path(__file__).parent.parent
 
@@ -180,7 +180,8 @@
         from backend import settings
 
         from dunefield import Settings
-        from hollyport.config import Address, Config
+        from hollyport.core.address import Address
+        from hollyport.platform.config import Config
         from hollyport.sidecar import Sidecar
 
         async def greet(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
