--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -21,7 +21,7 @@
 from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Server, pulse
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
-TICK = 1  # tag of the timer for held calls; 0 is the one for the server list
+TICK = 1  # tag of the timer for held calls; 0 is the one for the server list, 2 and up for second copies
 STEPS = 10  # the clamp on k: A105's default for max_connections_per_subchannel
 PROBES = 4  # servers asked at a time: two pairs to choose from
 UNTOLD = 2.0  # requests that a server is supposed to hold where its report is missing
@@ -51,6 +51,8 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
         self._armed = False  # a tick for the held calls is due
+        self._copies: dict[int, str] = {}  # calls that may get a second copy, by the tag of their timer
+        self._tag = TICK
         self.ceded = False  # another process goes on with the cold servers
         self._stretch = 1.0  # service time over size, all servers
         self._tokens = 1.0 / RETRY_RATIO
@@ -122,8 +124,11 @@
         # An answer is worth nothing to a client that has left, however far the aim: patience may be short.
         aim_at = now + min(cls.aim_ns + int(cls.aim_stretch * event.cost_ns), cls.deadline_ns, event.ttl_ns)
         size = event.cost_ns + self._extra[number][0]
-        call = Call(event.tid, number, cls, self._set.limits.max_attempts, now + event.ttl_ns, aim_at,
-                    event.cost_ns, max(1.0, size))
+        bounds, most = event.bounds, self._set.limits.max_attempts
+        if bounds is not None and bounds.attempts:
+            most = min(most, bounds.attempts)
+        call = Call(event.tid, number, cls, most, now + event.ttl_ns, aim_at, event.cost_ns, max(1.0, size),
+                    bounds)
         call.give_up = self._give_up(call)
         self._calls[event.tid] = call
         self._count(now, number)
@@ -162,6 +167,33 @@
             # tick, or the held calls whose time is up would be lost.
             self._armed = False
             self._pump(now, True)
+        elif event.tag > TICK:
+            self._copy(now, self._copies.pop(event.tag, ""))
+
+    def _copy(self, now: int, tid: str) -> None:
+        """Exception "second copy": where operators have set so for its route, an attempt that has no outcome
+        yet is joined by one at another server, within the same rules and budgets as any further attempt. It
+        harms where all servers are slow: the budget bounds by how much."""
+        call = self._calls.get(tid)
+        if call is None or call.out != 1 or call.begun or self._tokens < 1.0 or now >= call.give_up:
+            return
+        server, trial, _ = self._pick(now, call)
+        if server is not None and not trial and self._may_go(now, call, server) and self._affords(now, call):
+            self._tokens -= 1.0
+            self._send(now, call, server, False)
+
+    @staticmethod
+    def _affords(now: int, call: Call) -> bool:
+        """Take one further attempt out of the route's budget, where it has one."""
+        budget = call.bounds.budget if call.bounds is not None else None
+        return budget is None or budget.spend(now)
+
+    @staticmethod
+    def _repeats(call: Call, how: int) -> bool:
+        """Whether the call's route lets it be sent again after this outcome. What was withdrawn before its
+        first byte is no cause of its own: nothing has been sent."""
+        causes = call.bounds.retry_on if call.bounds is not None else None
+        return causes is None or how == How.MOOT or (How.TIMEOUT if how == How.CANCELLED else how) in causes
 
     def _on_response(self, now: int, event: Response) -> None:
         attempt = self._attempts.pop((event.tid, event.attempt), None)
@@ -186,12 +218,15 @@
             call.out -= 1
             if event.closed:
                 self._drop(event.tid)
+                if call.out and self._set.limits.cancel:  # the other copy has nobody left to answer
+                    self._acts += [Retract(call.tid, n) for n in range(call.attempts)
+                                   if (call.tid, n) in self._attempts]
             elif event.how not in NEVER_RAN and call.ran_on is None:
-                call.ran_on, call.ran_at = server, attempt.sent
+                call.ran_on, call.ran_at = server, call.first_at
             if not event.closed and not call.out and not call.begun:
                 self._tokens += stale  # a broken connection is no sign of load, so its repeat is free
-                if event.again:
-                    self._again(now, call)
+                if event.again and self._repeats(call, event.how):
+                    self._again(now, call, event.how)
                 else:
                     self._end(now, call, call.cls.aim_ns // 8)
         self._pump(now)
@@ -447,8 +482,8 @@
 
     def _draw(self, call: Call, turn: int) -> Server | None:
         """One server from the source of draws: the group a repeat is bound to, or all that may be drawn."""
-        if call.ran_on is not None and call.cls.repeat == "guarded" and call.cls.group != "all":
-            bound = call.ran_on
+        bound = call.ran_on or (call.first_on if call.out else None)
+        if bound is not None and call.cls.repeat == "guarded" and call.cls.group != "all":
             members = self._groups.get(bound.cell if call.cls.group == "cell" else -1 - bound.zone)
             return members[int(self._random() * len(members))] if members else None
         # Exception "own subset": a sidecar learns nothing of a fleet it meets once a minute; hundreds of them
@@ -510,14 +545,18 @@
             return True
         if call.out and cls.repeat != "guarded":
             return False
-        ran_on, ran_at = call.ran_on, call.ran_at
-        if ran_on is None:
-            return not call.out  # no second copy of what is not free before the first is known to have run
-        if cls.repeat != "guarded" or now >= ran_at + cls.window_ns:
+        if call.ran_on is None and not call.out:
+            return True
+        # What is out may have run as well as what has: the window counts from the first of them, and to the
+        # moment at which a connection is up at the latest; and all go to the first one's group.
+        ran_on, since = (call.ran_on, call.ran_at) if call.ran_on is not None else (call.first_on, call.first_at)
+        if cls.repeat != "guarded" or now + limits.connect_timeout_ns >= since + cls.window_ns:
             return False
+        if ran_on is None or cls.group == "all":
+            return cls.group == "all"
         if cls.group == "zone":
             return server.zone == ran_on.zone
-        return cls.group == "all" or (cls.group == "cell" and server.cell == ran_on.cell)
+        return cls.group == "cell" and server.cell == ran_on.cell
 
     def _may_refuse(self, call: Call) -> bool:
         """Whether telling the client that a retry is harmless would be true."""
@@ -532,6 +571,8 @@
         self._touch(now, server)
         server.peak = max(server.peak, server.inflight + 1)
         self._attempts[call.tid, call.attempts] = Attempt(server, trial, now, call)
+        if not call.out and call.ran_on is None:
+            call.first_at, call.first_on = now, server
         call.attempts += 1
         call.out += 1
         call.tried.append(server)
@@ -541,7 +582,15 @@
         server.load += 1.0
         self._held.pop(call.tid, None)
         self._refresh(server)
-        self._acts.append(Submit(call.tid, server.name, call.deadline))
+        abandon, bounds = call.deadline, call.bounds
+        if bounds is not None:
+            if bounds.try_ns:
+                abandon = min(abandon, now + bounds.try_ns)
+            if bounds.copy_after_ns and call.attempts == 1:
+                self._tag += 1
+                self._copies[self._tag] = call.tid
+                self._acts.append(Defer(bounds.copy_after_ns, self._tag))
+        self._acts.append(Submit(call.tid, server.name, abandon))
         return True
 
     def _end(self, now: int, call: Call, hold_off: int) -> None:
@@ -585,18 +634,23 @@
         doubt = min(0.9, (ratio - HOPEFUL + self._crowding.level) * 1.5)
         return self._random() < doubt * (1.0 - call.cls.late_worth)
 
-    def _again(self, now: int, call: Call) -> None:
-        """After a failed attempt: another one if class, time and retry budget allow, else the end."""
+    def _again(self, now: int, call: Call, how: int) -> None:
+        """After a failed attempt: another one if class, time and retry budgets allow, else the end."""
         limit = call.deadline if call.cls.late_worth > 0 else call.aim_at
-        if self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit:
+        if self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit and call.attempts < call.most:
             if self._probing and (call.ran_on is None or call.cls.repeat == "free"):
-                self._tokens -= 1.0
-                self._ask(now, call)
-                return
-            server, trial, _ = self._pick(now, call)
-            if server is not None and self._send(now, call, server, trial):
-                self._tokens -= 1.0
-                return
+                if how == How.MOOT or self._affords(now, call):
+                    self._tokens -= 1.0
+                    self._ask(now, call)
+                    return
+            else:
+                server, trial, _ = self._pick(now, call)
+                if server is not None and self._may_go(now, call, server) and (
+                    how == How.MOOT or self._affords(now, call)
+                ):
+                    self._tokens -= 1.0
+                    self._send(now, call, server, trial)
+                    return
         self._end(now, call, call.cls.aim_ns // 8)
 
     # --- probes ---------------------------------------------------------------------------------
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Sequence
 
-from dunefield.interface import Entry, Invariants, RequestClass
+from dunefield.interface import Bounds, Entry, Invariants, RequestClass
 
 GAIN = 0.3  # weight of one new observation against what was known
 FIGURE = 2.0  # concurrency figure of a server nothing is known of, and its ceiling: each step admits so many
@@ -117,14 +117,16 @@
 
     __slots__ = (
         "tid", "number", "cls", "most", "deadline", "aim_at", "size", "tried", "out", "attempts", "ran_on",
-        "ran_at", "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait",
+        "ran_at", "begun", "give_up", "pending", "rounds", "best", "hint", "queue", "best_wait", "bounds",
+        "first_at", "first_on",
     )
 
     def __init__(
         self, tid: str, number: int, cls: RequestClass, most: int, deadline: int, aim_at: int, hint: float,
-        size: float,
+        size: float, bounds: Bounds | None = None,
     ) -> None:
         self.tid, self.number, self.cls = tid, number, cls
+        self.bounds = bounds  # what operators have set for its route
         self.most = most  # attempts that it was taken with
         self.deadline, self.aim_at = deadline, aim_at
         self.hint = hint  # work as told, 0 where nothing is
@@ -134,6 +136,9 @@
         self.attempts = 0
         self.ran_on: Server | None = None  # first server that may have run it
         self.ran_at = 0
+        # Of the attempts not known to have never run, when the first was sent, and where.
+        self.first_at = 0
+        self.first_on: Server | None = None
         self.begun = False
         self.give_up = deadline
         self.pending = self.rounds = 0  # probes whose echo is due; rounds of probes asked for
--- a/hollyport/__main__.py
+++ b/hollyport/__main__.py
@@ -11,16 +11,20 @@
 import gc
 import os
 import sys
+from collections.abc import Callable, Mapping
 
 import uvloop
 
+from hollyport.core.log import LOG, SINK
 from hollyport.platform.config import Config, ConfigError, load
 from hollyport.platform.reload import fixed, read_again
-from hollyport.sidecar import Sidecar
+from hollyport.sidecar import Policy, Sidecar
 
+Policies = Callable[[Config], Policy]
 
-async def serve(sidecar_env: dict[str, str]) -> None:
-    """Run one sidecar until SIGTERM or SIGINT."""
+
+async def serve(sidecar_env: Mapping[str, str], policies: Policies | None = None) -> None:
+    """Run one sidecar until SIGTERM or SIGINT; `policies` makes what an operator's file adds."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -28,47 +32,59 @@
     again = asyncio.Semaphore(0)  # counts: each signal is answered with a file taken or turned down
     loop.add_signal_handler(signal.SIGHUP, again.release)
     config = load(sidecar_env)
-    sidecar = Sidecar(config, loop)
+    policy = policies(config) if policies is not None else None
+    sidecar = Sidecar(config, loop, policy)
     await sidecar.start()
     gc.freeze()  # what is loaded by now stays: no collection needs to walk through it again
-    print(f"{config.name}: listening on {':'.join(map(str, config.listen))}", file=sys.stderr, flush=True)
-    reloading = loop.create_task(reload(sidecar, config, sidecar_env, again))
+    LOG.info("process.listening", name=config.name, address=":".join(map(str, config.listen)))
+    reloading = loop.create_task(reload(sidecar, config, sidecar_env, again, policy))
     await stop.wait()
     reloading.cancel()
     await sidecar.stop()
 
 
-async def reload(sidecar: Sidecar, config: Config, env: dict[str, str], again: asyncio.Semaphore) -> None:
-    """Take over the file at each SIGHUP. One that can't be used leaves in force what was."""
+async def reload(
+    sidecar: Sidecar, config: Config, env: Mapping[str, str], again: asyncio.Semaphore,
+    policy: Policy | None = None,
+) -> None:
+    """Take over the files at each SIGHUP. Where either can't be used, what was stays in force, of both."""
     while True:
         await again.acquire()
         try:
             # In a thread: reading and parsing must not hold up requests.
             new = await asyncio.to_thread(read_again, env, config)
+            prepared = await asyncio.to_thread(policy.prepare, new) if policy is not None else None
         except Exception as error:
             sidecar.turned_down()
-            print(f"{config.name}: reload: old configuration kept: {error}", file=sys.stderr, flush=True)
+            for reason in getattr(error, "problems", (error,)):
+                LOG.error("reload.old_configuration_kept", reason=reason)
             continue
         rest = fixed(new, config)
-        note = f"; a restart is needed for {', '.join(rest)}" if rest else ""
-        print(f"{config.name}: reload: discovery at {':'.join(map(str, new.discovery))}{note}",
-              file=sys.stderr, flush=True)
-        sidecar.reconfigure(new)
+        LOG.info("reload.taken", discovery=":".join(map(str, new.discovery)),
+                 **({"restart_needed_for": ", ".join(rest)} if rest else {}))
+        sidecar.reconfigure(new, prepared)
         config = new
 
 
-def main() -> int:
-    """Entry point of `python -m hollyport`."""
+def run(env: Mapping[str, str], policies: Policies | None = None) -> int:
+    """Run one sidecar; the exit code."""
     try:
-        uvloop.run(serve(dict(os.environ)))
+        uvloop.run(serve(env, policies))
     except ConfigError as error:
-        print(f"hollyport: configuration: {error}", file=sys.stderr)
+        LOG.error("process.configuration", reason=error)
         return 2
     except OSError as error:
-        print(f"hollyport: listen: {error}", file=sys.stderr)
+        LOG.error("process.listen", reason=error)
         return 2
+    finally:
+        SINK.flush()
     return 0
 
 
+def main() -> int:
+    """Entry point of `python -m hollyport`."""
+    return run(dict(os.environ))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/hollyport/core/calls.py
+++ b/hollyport/core/calls.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, Generic, Protocol
@@ -41,12 +39,14 @@
 from dunefield.rules import Balancer
 from hollyport.core.clock import Clock
 from hollyport.core.flow import Sink
+from hollyport.core.log import LOG
 from hollyport.core.ports import REFUSE, WAIT, Asked, Attempt, Backend, Ending, Limiter, Load, Q, R
 
 MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
 GUARD_NS = 5_000_000  # and the last guard between the two
 BEAT_S = 0.02  # how often the loop shows that it runs
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
+ENDED = {Ending.SERVED: "served", Ending.REFUSED: "refused", Ending.GONE: "gone"}  # all else is "failed"
 CONNECTING_S = 2.0  # how long a request whose body is still coming in may wait for a connection
 
 
@@ -198,7 +198,7 @@
 
     def _broken(self, tid: str) -> None:
         """An exception costs the request it came from, and nothing else."""
-        traceback.print_exc(file=sys.stderr)
+        LOG.error("call.broken", call=tid, exc_info=True)
         call = self.calls.get(tid)
         if call is not None:
             self._give_up(call, Ending.BROKEN)
@@ -322,7 +322,7 @@
     def _beat(self) -> None:
         stalled = self._stalled()
         if stalled > STALL_S:
-            print(f"loop: stood still for {stalled:.3f} s", file=sys.stderr, flush=True)
+            LOG.warning("loop.stood_still", seconds=round(stalled, 3))
         self._beat_due = time.monotonic() + BEAT_S
         self.loop.call_later(BEAT_S, self._beat)
 
@@ -361,7 +361,7 @@
             case Fetch():
                 self._directions.fetch()
             case Note(text):
-                print(f"note: {text}", file=sys.stderr, flush=True)
+                LOG.info("module.note", text=text)
             case Tell():
                 raise NotImplementedError("this deployment has no peers")
 
@@ -423,11 +423,11 @@
             call.guard.cancel()
         if self.limiter is not None and call.asked.rule is not None:
             # In a turn of its own: this one still has the answer to write.
-            self.loop.call_soon(self._freed, call.tid)
+            self.loop.call_soon(self._freed, call.tid, ENDED.get(ending, "failed"))
 
-    def _freed(self, tid: str) -> None:
+    def _freed(self, tid: str, ending: str) -> None:
         if self.limiter is not None:
-            self._go(self.limiter.ended(self.clock(), tid))
+            self._go(self.limiter.ended(self.clock(), tid, ending))
 
     def forget(self, call: Call[Q, R]) -> None:
         """Drop a call once nothing more can come of it."""
@@ -439,7 +439,7 @@
         if call.waits and not call.over:
             self._answer(call.tid, Ending.REFUSED)  # it waited in vain for its route's limits, and never ran
         elif not call.over:
-            print(f"guard: request {call.tid} had no answer in time", file=sys.stderr, flush=True)
+            LOG.error("call.unanswered", call=call.tid, cls=call.cls.name)
             self._give_up(call, Ending.LATE)
 
     def _give_up(self, call: Call[Q, R], ending: Ending) -> None:
--- a/hollyport/core/ports.py
+++ b/hollyport/core/ports.py
@@ -125,7 +125,11 @@
 
 
 class Rule(Protocol):
-    """What operators have set for the requests that one route matches. Opaque to wires; see `Limiter`."""
+    """What operators have set for the requests that one route matches."""
+
+    @property
+    def cls(self) -> str:
+        """The name of its requests' class."""
 
     @property
     def bounds(self) -> Bounds | None:
@@ -136,6 +140,15 @@
         """The longest that one may take; 0 for no limit but its class's."""
 
 
+class Routes(Protocol):
+    """Which rule a request is under."""
+
+    def find(
+        self, method: bytes, target: bytes, tenant: bytes | None, headers: Mapping[bytes, bytes]
+    ) -> Rule | None:
+        """The rule of the most specific route that matches; None where none does."""
+
+
 class Verdict(NamedTuple):
     """What a limiter says of one request."""
 
@@ -153,8 +166,9 @@
     def asks(self, now: int, tid: str, asked: Asked) -> Verdict:
         """A request has come."""
 
-    def ended(self, now: int, tid: str) -> list[tuple[str, Bounds | None]]:
-        """A request has ended, whether it went or waited; which of those that wait may go now."""
+    def ended(self, now: int, tid: str, ending: str) -> list[tuple[str, Bounds | None]]:
+        """A request has ended, whether it went or waited, "served", "refused", "failed" or "gone"; which of
+        those that wait may go now."""
 
     def released(self, now: int) -> list[tuple[str, Bounds | None]]:
         """Which of those that wait may go for another reason, such as limits that were raised."""
--- a/hollyport/http1/admission.py
+++ b/hollyport/http1/admission.py
@@ -6,7 +6,7 @@
 import re
 
 from dunefield.interface import RequestClass, Settings
-from hollyport.core.ports import Asked
+from hollyport.core.ports import Asked, Routes
 from hollyport.http1.message import Message
 
 ID = re.compile(rb"[!-~]{1,256}")
@@ -19,8 +19,14 @@
     """Reads requests by the settings. Protects the servers, which turn away what they can't use and close
     the connection on what they can't read: nothing of that kind may reach them."""
 
-    def __init__(self, settings: Settings, before: Gate | None = None, now: float = 0.0) -> None:
+    def __init__(
+        self, settings: Settings, before: Gate | None = None, now: float = 0.0, forms: Settings | None = None,
+        routes: Routes | None = None,
+    ) -> None:
+        """`forms` are the settings that clients know, where operators have made `settings` stricter."""
         self._classes = {c.name.encode(): (i, c) for i, c in enumerate(settings.classes)}
+        self._forms = {c.name.encode(): c for c in (forms or settings).classes}
+        self._routes = routes
         self._before: dict[bytes, tuple[int, RequestClass]] = {}
         self._before_until = now + OLD_FORM_S
         if before is not None:
@@ -42,10 +48,13 @@
         rid = told.get(b"x-request-id", b"")
         if ID.fullmatch(rid) is None or message.target[:1] != b"/":
             return 400
-        name = message.target[1:].partition(b"?")[0].partition(b"/")[0]
+        rule = None
+        if self._routes is not None:
+            rule = self._routes.find(message.method, message.target, told.get(b"x-tenant-id"), told)
+        name = message.target[1:].partition(b"?")[0].partition(b"/")[0] if rule is None else rule.cls.encode()
         keyed = b"idempotency-key" in told
         found = self._classes.get(name)
-        wrong = 404 if found is None else _misfit(found[1], message, keyed)
+        wrong = 404 if found is None else _misfit(self._forms[name], message, keyed)
         if wrong and name in self._before and now < self._before_until:
             found = self._before[name]
             wrong = _misfit(found[1], message, keyed)
@@ -69,6 +78,7 @@
             _cookie(told.get(b"cookie"), b"key"),
             told.get(b"x-retried") == b"1",
             b"x-attrs" in told and _attrs(told[b"x-attrs"]).get("write") == "1",
+            rule,
         )
 
 
--- a/hollyport/http1/client.py
+++ b/hollyport/http1/client.py
@@ -7,14 +7,13 @@
 import select
 import socket
 import struct
-import sys
-import traceback
 from collections import deque
 from typing import Protocol, cast
 
 import httptools
 
 from hollyport.core.flow import Body, Budget, Source
+from hollyport.core.log import LOG
 from hollyport.http1.message import Headers, Message, head
 
 MAX_BODY = 33 << 20  # of a request; 32 MB are promised
@@ -349,7 +348,7 @@
                 self._listener.service.request(message)
             except Exception:
                 # Raised through the parser it would pass for bad HTTP, and leave no trace.
-                traceback.print_exc(file=sys.stderr)
+                LOG.error("clients.broken", exc_info=True)
                 message.reply(500)
 
     def answer(self, message: Message, status: int, body: bytes, headers: Headers) -> None:
--- a/hollyport/http1/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import errno
-import sys
-import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from dunefield.interface import How
 from hollyport.core.address import Address
 from hollyport.core.flow import Body, Budget, Sink
+from hollyport.core.log import LOG
 from hollyport.http1.connection import Begin, Connection, Reply, Wrote
 
 OWN_WANT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -101,7 +100,7 @@
             return
         except Exception:
             # Whatever went wrong, the attempt is over and must be told so, or its request would hang on it.
-            traceback.print_exc(file=sys.stderr)
+            LOG.error("servers.connect_broken", exc_info=True)
             self._end(How.CONNECT_FAILED)
             return
         if self._over:
--- a/hollyport/platform/control.py
+++ b/hollyport/platform/control.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import sys
-import traceback
 from http import HTTPStatus
 from typing import Protocol, cast
 
 import httptools
 
 from hollyport.core.address import Address
+from hollyport.core.log import LOG
 from hollyport.http1.message import head
 
 MOST = 8  # connections at a time; their descriptors are out of the program's reserve
@@ -19,7 +18,8 @@
 LINGER_S = 0.5  # how long a caller that was answered may take to close
 BACKLOG = 64
 PATHS = {
-    "/healthcheck": b"GET", "/stats": b"GET", "/healthcheck/fail": b"PUT", "/healthcheck/ok": b"PUT",
+    "/healthcheck": b"GET", "/stats": b"GET", "/routes": b"GET",
+    "/healthcheck/fail": b"PUT", "/healthcheck/ok": b"PUT",
 }
 
 
@@ -30,6 +30,8 @@
 
     def figures(self) -> bytes: ...
 
+    def routes(self) -> bytes | None: ...
+
     def drain(self, on: bool) -> None: ...
 
 
@@ -72,6 +74,9 @@
         match path:
             case "/stats":
                 return HTTPStatus.OK, self.operated.figures()
+            case "/routes":
+                shown = self.operated.routes()
+                return (HTTPStatus.OK, shown) if shown is not None else (HTTPStatus.NOT_FOUND, b"no routes are set\n")
             case "/healthcheck":
                 if not self.operated.healthy():
                     return HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n"
@@ -128,7 +133,7 @@
             status, body = self._control.answer(self._parser.get_method(), path)
         except Exception:
             # Raised through the parser it would pass for a bad call, and leave no trace.
-            traceback.print_exc(file=sys.stderr)
+            LOG.error("control.broken", exc_info=True)
             status, body = HTTPStatus.INTERNAL_SERVER_ERROR, b"failed\n"
         self._answer(status, body)
 
@@ -139,12 +144,13 @@
         if self._parser is None or transport is None or transport.is_closing():
             return
         self._parser = None
-        headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
         path = self._target.partition(b"?")[0].decode("latin-1")
+        shown = path == "/routes" and status is HTTPStatus.OK
+        headers = [(b"Content-Type", b"application/json" if shown else b"text/plain; charset=utf-8")]
         if status is HTTPStatus.METHOD_NOT_ALLOWED:
             headers.append((b"Allow", PATHS[path]))
         if 400 <= status < 500:
-            print(f"control: {status.value} for {path[:80]!r}", file=sys.stderr, flush=True)
+            LOG.info("control.refused", status=status.value, path=path[:80])
         transport.write(head(status.value, len(body), headers, False) + body)
         transport.write_eof()
         if self._timer is not None:
--- a/hollyport/platform/discovery.py
+++ b/hollyport/platform/discovery.py
@@ -5,13 +5,12 @@
 import asyncio
 import json
 import math
-import sys
-import traceback
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from dunefield.interface import Entry, Settings
 from hollyport.core.address import Address, parse_address
+from hollyport.core.log import LOG
 from hollyport.http1.connection import Connection, Reply
 
 GRACE_S = 2.0  # how much longer than it may wait a call is waited for
@@ -52,7 +51,7 @@
         try:
             lines.append(_line(item, settings))
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            print(f"discovery: entry left out: {item!r:.200}: {error}", file=sys.stderr, flush=True)
+            LOG.warning("discovery.entry_left_out", entry=f"{item!r:.200}", reason=error)
     return Listing(version, bool(raw.get("snapshot", False)), tuple(lines))
 
 
@@ -138,7 +137,7 @@
             pass  # discovery is down, silent or confused: an ordinary failure
         except Exception:
             # Whatever went wrong, the watch is over and must be told so, or nobody would ask again.
-            traceback.print_exc(file=sys.stderr)
+            LOG.error("discovery.broken", exc_info=True)
         finally:
             caller.close()
 
@@ -177,7 +176,7 @@
         try:
             return read_listing(json.loads(reply.body), self._settings)
         except (ValueError, RecursionError) as error:
-            print(f"discovery: unreadable answer: {error!s:.200}", file=sys.stderr, flush=True)
+            LOG.warning("discovery.unreadable", reason=error)
             raise ListingError(str(error)) from None
 
 
--- a/hollyport/platform/takeover.py
+++ b/hollyport/platform/takeover.py
@@ -11,11 +11,11 @@
 import json
 import os
 import struct
-import sys
 from typing import Any, Protocol, cast
 
 from dunefield.interface import Entry
 from hollyport.core.address import Address
+from hollyport.core.log import LOG
 from hollyport.platform.discovery import Line, Listing
 
 VERSION = 1
@@ -87,7 +87,7 @@
         except OSError as error:
             # FileNotFoundError at every first start; TimeoutError where the old one stands still.
             if not isinstance(error, FileNotFoundError):
-                print(f"takeover: cold start: {error or 'no greeting'}", file=sys.stderr, flush=True)
+                LOG.warning("takeover.cold_start", reason=str(error) or "no greeting")
             if self._before is not None:
                 self._before.close()
                 self._before = None
@@ -116,7 +116,7 @@
             self._server = await self._loop.create_unix_server(lambda: Link(self, True), fresh)
             os.replace(fresh, self._path)
         except OSError as error:
-            print(f"takeover: the next start will be a cold one: {error}", file=sys.stderr, flush=True)
+            LOG.warning("takeover.next_start_cold", reason=error)
 
     def cede(self) -> bool:
         """Leave the clients to the new process; whether there is one."""
@@ -146,7 +146,7 @@
         self._links.add(link)
         self.half.share(1 + len(self._links))
         if link.called:
-            print("takeover: a new process has called", file=sys.stderr, flush=True)
+            LOG.info("takeover.called")
             link.send({"kind": "hello", "v": VERSION, **self.half.state()})
             if self._ceded:
                 link.send({"kind": "yours", **self.half.state()})
@@ -167,7 +167,7 @@
             if usable:
                 self.half.adopt(frame)
             else:
-                print("takeover: state of another version left aside", file=sys.stderr, flush=True)
+                LOG.warning("takeover.left_aside", part="state", reason="of another version")
             if not self._greeted.done():
                 self._greeted.set_result(True)
         elif kind == "yours" and not link.called:
@@ -206,7 +206,7 @@
                     raise ValueError("not an object")
                 self._takeover.got(self, frame)
             except (ValueError, RecursionError) as error:
-                print(f"takeover: unreadable frame: {error!s:.200}", file=sys.stderr, flush=True)
+                LOG.warning("takeover.unreadable", reason=error)
                 self.close()
                 return
 
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import sys
-from typing import Any
+from typing import Any, Protocol
 
 from dunefield import memory
 from dunefield.interface import Directory, Reconfigure, Settings
@@ -16,7 +15,8 @@
 from hollyport.core.address import Address
 from hollyport.core.calls import Core
 from hollyport.core.flow import Budget
-from hollyport.core.ports import Ending
+from hollyport.core.log import LOG, settle
+from hollyport.core.ports import Ending, Limiter, Routes
 from hollyport.http1.admission import Gate
 from hollyport.http1.backend import HttpBackend
 from hollyport.http1.connection import Reply
@@ -31,20 +31,55 @@
 
 KEEP_ACCEPTING_S = 0.45  # after SIGTERM; new connections go on coming for 0.4 s
 LIVE_ON_S = 3.0  # past that the platform does not wait, however long the deadlines
+SETTLE_S = 2.0  # how often the log tells of lines that were held back
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
 RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery, files, operators
 
 
+class Policy(Protocol):
+    """What an installation's own file adds to the platform's settings."""
+
+    @property
+    def limiter(self) -> Limiter:
+        """The limits at work."""
+
+    @property
+    def routes(self) -> Routes:
+        """The look-up of routes."""
+
+    def settings(self, platform: Settings) -> Settings:
+        """The platform's settings, made stricter where the file says so."""
+
+    def prepare(self, config: Config) -> object:
+        """Read the file again for this configuration; raise ValueError where it can't be taken. Off the loop."""
+
+    def take(self, prepared: object, now: int) -> None:
+        """Go by what was prepared."""
+
+    def page(self, now: int) -> bytes:
+        """What operators get to see of the routes."""
+
+    def told(self, now: int) -> object:
+        """What the process that takes over needs to know, as plain data."""
+
+    def recall(self, now: int, state: object) -> bool:
+        """Take that over; False where it can't be used."""
+
+
 class Sidecar:
     """Wires listener, servers and discovery to one balancer of the decision module."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self._config, self._loop = config, loop
-        self._settings = settings = config.settings
-        self._gate = Gate(settings)
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, policy: Policy | None = None
+    ) -> None:
+        self._config, self._loop, self._policy = config, loop, policy
+        self._settings = settings = config.settings if policy is None else policy.settings(config.settings)
+        self._gate = self._made_gate(None)
         self._stats = Stats(c.name for c in settings.classes)
         self._longest_ns = max(c.deadline_ns for c in settings.classes)
         self.core: Core[Message, Reply] = Core(loop, self, self._longest_ns)
+        if policy is not None:
+            self.core.limiter = policy.limiter
         limits = settings.limits
         self._budget = Budget(config.memory_mb)
         self._upstream = Upstream(
@@ -73,6 +108,10 @@
         self.core.probe_limit_s = min(c.aim_ns for c in settings.classes) / 6e9
         self._backend.reports(settings.reports != "none")
 
+    def _made_gate(self, before: Gate | None) -> Gate:
+        routes = self._policy.routes if self._policy is not None else None
+        return Gate(self._settings, before, self._loop.time(), self._config.settings, routes)
+
     # --- life
 
     async def start(self) -> int:
@@ -89,8 +128,13 @@
         self._open = True
         if not wait:
             self.open_up()
+        self._settle_log()
         return port
 
+    def _settle_log(self) -> None:
+        settle()
+        self._loop.call_later(SETTLE_S, self._settle_log)
+
     async def stop(self) -> None:
         """Take requests for as long as they may come, answer all of them, and close what is idle.
 
@@ -114,15 +158,20 @@
         if self._takeover is not None:
             self._takeover.close()
 
-    def reconfigure(self, config: Config) -> None:
-        """Take over a configuration that has been checked, whole and in one turn of the loop."""
+    def reconfigure(self, config: Config, prepared: object = None) -> None:
+        """Take over a configuration that has been checked, whole and in one turn of the loop; `prepared` is
+        what the policy has made of its own file for it."""
         old, new = self._settings, config.settings
         moved = config.discovery != self._config.discovery
-        self._config = config
+        before, self._config = self._config, config
         self._stats.reconfig_ok += 1
-        if new != old:
+        if self._policy is not None:
+            self._policy.take(prepared, self.core.clock())
+            new = self._policy.settings(config.settings)
+        if new != old or config.settings != before.settings or self._policy is not None:
             self._settings = new
-            self._gate = Gate(new, self._gate, self._loop.time())
+            self._gate = self._made_gate(self._gate)
+        if new != old:
             self._stats.know(c.name for c in new.classes)
             self._outlast(max(c.deadline_ns for c in new.classes))
             self._upstream.adjust(new.limits.connect_timeout_ns, new.limits.conn_idle_ns, _stall_s(new))
@@ -131,6 +180,7 @@
         listed = (new.zones, new.kinds, new.must_ask, new.invariants.must_ask_in_ns)
         if moved or listed != (old.zones, old.kinds, old.must_ask, old.invariants.must_ask_in_ns):
             self.move_discovery(config.discovery)
+        self.core.recheck()
 
     def _outlast(self, longest_ns: int) -> None:
         """Count with another longest deadline; a shorter one only once no request is left from before."""
@@ -174,7 +224,7 @@
         """Let clients in, and let the next process find this one."""
         self._listener.let_in()
         if self._takeover is not None:
-            print("takeover: clients are taken here", file=sys.stderr, flush=True)
+            LOG.info("takeover.clients_taken")
             self._serving = self._loop.create_task(self._takeover.serve())
 
     def state(self) -> dict[str, Any]:
@@ -185,6 +235,7 @@
             "list": packed(listing),
             "ids": [[rid.decode("latin-1"), now - at] for rid, at in self.core.ids()],
             "memory": memory.told(self.core.module, self.core.clock()),
+            **({"limits": self._policy.told(self.core.clock())} if self._policy is not None else {}),
         }
 
     def adopt(self, state: dict[str, Any]) -> None:
@@ -195,11 +246,13 @@
         try:
             ids = {str(rid).encode("latin-1"): now - float(age) for rid, age in state["ids"]}
         except (KeyError, TypeError, ValueError) as error:
-            print(f"takeover: ids left aside: {error!r:.200}", file=sys.stderr, flush=True)
+            LOG.warning("takeover.left_aside", part="ids", reason=repr(error))
             ids = {}
         self.core.know_ids(ids)
         if not memory.recall(self.core.module, self.core.clock(), state.get("memory")):
-            print("takeover: memory left aside", file=sys.stderr, flush=True)
+            LOG.warning("takeover.left_aside", part="memory")
+        if self._policy is not None and not self._policy.recall(self.core.clock(), state.get("limits")):
+            LOG.warning("takeover.left_aside", part="limits")
 
     def hear(self, frame: dict[str, Any]) -> None:
         """News from the other process of this sidecar: what it was told or has taken counts here, too."""
@@ -209,7 +262,7 @@
             try:
                 listing = unpacked(frame)
             except ValueError as error:
-                print(f"takeover: list left aside: {error!s:.200}", file=sys.stderr, flush=True)
+                LOG.warning("takeover.left_aside", part="list", reason=error)
                 return
             if listing.version > self._index:
                 self._take_list(listing, "SAVED")
@@ -256,10 +309,14 @@
         listed, down = self.core.module.census(self.core.clock())
         return self._stats.render(Gauges(self.core.taken, listed, down))
 
+    def routes(self) -> bytes | None:
+        """Limits and figures of the operator's routes; None where there are none."""
+        return self._policy.page(self.core.clock()) if self._policy is not None else None
+
     def drain(self, on: bool) -> None:
         """Empty the sidecar, or end that. It goes on serving what comes all the same."""
         if on != self._listener.draining:
-            print(f"drain: {'on' if on else 'over'}", file=sys.stderr, flush=True)
+            LOG.info("drain.begun" if on else "drain.ended")
         self._listener.drain(on)
 
     # --- the core's Ends and Directions
--- /dev/null
+++ b/rosechute/command/__init__.py
@@ -0,0 +1,1 @@
+"""The `rosechute` command."""
--- /dev/null
+++ b/rosechute/file/reading.py
@@ -0,0 +1,197 @@
+"""From TOML text to the structs of `spec`, with all that is wrong told at once. Pure: text in, structs out."""
+
+from __future__ import annotations
+
+import math
+import re
+import tomllib
+from typing import Any, TypeVar, Union, get_args, get_origin
+
+import msgspec
+from msgspec import Struct
+from msgspec.structs import fields
+
+from rosechute.file.problems import FileError, Problem, nearest
+from rosechute.file.spec import Budget, Class, File, Log, Rate, Route
+from rosechute.file.units import Span, span
+
+MOST_BYTES = 4 << 20
+MOST_ROUTES = 10_000
+HEADER = re.compile(r"\s*\[(\[)?\s*([A-Za-z0-9_.-]+)\s*\]")
+KEY = re.compile(r'\s*"?([A-Za-z0-9_-]+)"?\s*=')
+AT = re.compile(r"line (\d+)")
+WORDS = (
+    (re.compile(r"Expected `int`, got `float`"), "must be a whole number"),
+    (re.compile(r"Expected `(int|float)`, got .*"), "must be a number"),
+    (re.compile(r"Expected `str`, got .*"), "must be a text"),
+    (re.compile(r"Expected `array`, got .*"), "must be a list"),
+    (re.compile(r"Expected `object`, got .*"), "must be a table"),
+    (re.compile(r"Expected `(?:int|float)` >= (\S+)"), r"must be \1 or more"),
+    (re.compile(r"Expected `(?:int|float)` > (\S+)"), r"must be above \1"),
+    (re.compile(r"Expected `(?:int|float)` <= (\S+)"), r"must be \1 or less"),
+    (re.compile(r"Expected `str` matching regex .*"),
+     "must be up to 64 letters, digits, dots, dashes and underscores, the first a letter or digit"),
+    (re.compile(r"Integer value out of range"), "is too large"),
+)
+T = TypeVar("T", bound=Struct)
+
+
+class Read:
+    """A file as read: the structs, and on which line each key stands."""
+
+    def __init__(self, file: File, lines: dict[str, int]) -> None:
+        self.file, self.lines = file, lines
+
+
+def read(text: str | bytes) -> Read:
+    """Read a file; raise FileError with every problem of form."""
+    if isinstance(text, bytes):
+        if len(text) > MOST_BYTES:
+            raise FileError([Problem("", None, f"it has {len(text)} bytes; {MOST_BYTES} are the most")])
+        try:
+            text = text.decode("utf-8")
+        except UnicodeDecodeError as error:
+            raise FileError([Problem("", None, f"it is not UTF-8 text: {error.reason} at byte {error.start}")]) \
+                from None
+    try:
+        raw = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        at = AT.search(str(error))
+        reason = f"it is not TOML: {str(error) or 'nested too deep'}"
+        raise FileError([Problem("", None, reason, int(at[1]) if at else 0)]) from None
+    lines = places(text)
+    reader = _Reader()
+    file = reader.whole(raw)
+    if reader.problems or file is None:
+        raise FileError(p._replace(line=line_of(p.path, lines)) for p in reader.problems)
+    return Read(file, lines)
+
+
+def line_of(path: str, lines: dict[str, int]) -> int:
+    """The line of a key, or of the nearest table around it."""
+    while path:
+        if path in lines:
+            return lines[path]
+        cut = max(path.rfind("."), path.rfind("["))
+        path = path[:cut] if cut > 0 else ""
+    return 0
+
+
+def places(text: str) -> dict[str, int]:
+    """On which line each key stands, as far as a look at single lines tells: enough to point at a place."""
+    found: dict[str, int] = {}
+    counts: dict[str, int] = {}
+    table = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        head = HEADER.match(line)
+        if head is not None:
+            name = head[2]
+            if head[1]:
+                table = f"{name}[{counts.get(name, 0)}]"
+                counts[name] = counts.get(name, 0) + 1
+            else:
+                first, _, rest = name.partition(".")
+                owner = f"{first}[{counts[first] - 1}]" if first in counts else first
+                table = f"{owner}.{rest}" if rest else owner
+            found.setdefault(table, number)
+            continue
+        key = KEY.match(line)
+        if key is not None:
+            found.setdefault(f"{table}.{key[1]}" if table else key[1], number)
+    return found
+
+
+class _Reader:
+    """Converts key by key, so that one wrong value does not hide the next."""
+
+    def __init__(self) -> None:
+        self.problems: list[Problem] = []
+
+    def wrong(self, path: str, value: Any, reason: str) -> None:
+        self.problems.append(Problem(path, value, reason))
+
+    def whole(self, raw: dict[str, Any]) -> File | None:
+        known = ("version", "class", "route", "log")
+        for key in raw.keys() - set(known):
+            self.wrong(key, raw[key], f"there is no such key{nearest(key, known)}")
+        if "version" not in raw:
+            self.wrong("version", None, "it is missing; this program reads version = 1")
+        elif raw["version"] != 1 or isinstance(raw["version"], bool):
+            self.wrong("version", raw["version"], "this program reads version = 1 and no other")
+        classes = self.tables(raw, "class", Class)
+        routes = self.tables(raw, "route", Route)
+        if len(routes) > MOST_ROUTES:
+            self.wrong("route", None, f"there are {len(routes)} routes; {MOST_ROUTES} are the most")
+        told = raw.get("log", {})
+        log = self.table("log", told, Log)
+        if self.problems or log is None:
+            return None
+        return File(1, tuple(c for c in classes if c), tuple(r for r in routes if r), log)
+
+    def tables(self, raw: dict[str, Any], key: str, kind: type[T]) -> list[T | None]:
+        told = raw.get(key, [])
+        if not isinstance(told, list) or not all(isinstance(item, dict) for item in told):
+            self.wrong(key, told, f"must be tables, each under [[{key}]]")
+            return []
+        return [self.table(f"{key}[{i}]", item, kind) for i, item in enumerate(told)]
+
+    def table(self, path: str, raw: Any, kind: type[T]) -> T | None:
+        """One table into its struct; None where anything in it is wrong."""
+        before = len(self.problems)
+        if not isinstance(raw, dict):
+            self.wrong(path, raw, "must be a table")
+            return None
+        known = {field.encode_name: field for field in fields(kind)}
+        for key in raw:
+            if key not in known:
+                self.wrong(f"{path}.{key}", raw[key], f"there is no such key{nearest(key, known)}")
+        values: dict[str, Any] = {}
+        for key, field in known.items():
+            if key in raw:
+                values[field.name] = self.value(f"{path}.{key}", raw[key], field.type)
+            elif field.required:
+                self.wrong(f"{path}.{key}", None, "it is missing")
+        if kind is Rate and sum(raw.get(key) is not None for key in ("per_s", "per_min", "per_h")) != 1:
+            self.wrong(path, raw, "a rate has exactly one of per_s, per_min and per_h")
+        return kind(**values) if len(self.problems) == before else None
+
+    def value(self, path: str, raw: Any, kind: Any) -> Any:
+        kinds = get_args(kind) if get_origin(kind) in (Union, type(int | str)) else (kind,)
+        for struct in (Rate, Budget):
+            if struct in kinds:
+                return self.table(path, raw, struct)
+        if Span in kinds:
+            try:
+                return span(raw)
+            except ValueError as error:
+                self.wrong(path, raw, str(error))
+                return None
+        if isinstance(raw, float) and not math.isfinite(raw):
+            self.wrong(path, raw, "must be a finite number")
+            return None
+        if isinstance(raw, list) and len(set(map(repr, raw))) < len(raw):
+            self.wrong(path, raw, "names something twice")
+        try:
+            return msgspec.convert(raw, kind)
+        except msgspec.ValidationError as error:
+            self.wrong(path, raw, _plain(str(error), kind))
+            return None
+
+
+def _plain(text: str, kind: Any) -> str:
+    """An error of the library's in the words of the file."""
+    for pattern, words in WORDS:
+        found = pattern.search(text)
+        if found is not None:
+            return found.expand(words)
+    if text.startswith("Invalid enum value"):
+        wrong = text.partition("value ")[2].partition(" - ")[0].strip("'\"")
+        return f"{wrong!r} is not one of {', '.join(_choices(kind))}{nearest(wrong, _choices(kind))}"
+    return text.partition(" - at ")[0]
+
+
+def _choices(kind: Any) -> list[str]:
+    found: list[str] = []
+    for part in get_args(kind):
+        found += [part] if isinstance(part, str) else _choices(part)
+    return found
--- /dev/null
+++ b/rosechute/file/spec.py
@@ -0,0 +1,89 @@
+"""The form of the operator's file, as typed structs. Meaning, unit, default and what is refused of each key
+stand in docs/operators-file.md."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from rosechute.file.units import Span
+
+VERSION = 1
+CAUSES = ("connect-failed", "full", "reset", "error", "timeout")
+SCOPES = ("route", "tenant", "key")
+REPEATS = ("free", "guarded", "single_shot")  # from the least strict to the strictest
+GROUPS = ("all", "zone", "cell")  # likewise: where a guarded request may be sent again
+MOST = 1_000_000
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Count = Annotated[int, Meta(ge=1, le=MOST)]
+Waiting = Annotated[int, Meta(ge=0, le=MOST)]
+Cause = Literal["connect-failed", "full", "reset", "error", "timeout"]
+Repeat = Literal["free", "guarded", "single_shot"]
+
+
+class Budget(Struct, frozen=True, forbid_unknown_fields=True):
+    """Further attempts that requests may have: a share of first ones, and a floor for quiet times."""
+
+    ratio: Annotated[float, Meta(ge=0, le=10)]
+    min_per_s: Annotated[float, Meta(ge=0, le=MOST)] = 0.0
+
+
+class Rate(Struct, frozen=True, forbid_unknown_fields=True):
+    """A token bucket. Exactly one of the three rates is set."""
+
+    per_s: Annotated[float, Meta(gt=0, le=MOST)] | None = None
+    per_min: Annotated[float, Meta(gt=0, le=MOST)] | None = None
+    per_h: Annotated[float, Meta(gt=0, le=MOST)] | None = None
+    burst: Count = 1
+
+
+class Class(Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of requests; where platform settings are at hand, it may only be stricter than theirs."""
+
+    name: Name
+    repeat: Repeat | None = None
+    deadline: Span | None = None
+    aim: Span | None = None
+    window: Span | None = None
+    group: Literal["all", "zone", "cell"] | None = None
+
+
+class Route(Struct, frozen=True, forbid_unknown_fields=True):
+    """Which requests, and what holds for them."""
+
+    name: Name
+    path: str
+    method: Literal["GET", "POST"] | None = None
+    tenant: str | None = None
+    headers: dict[str, str] = {}
+    class_: str | None = msgspec.field(default=None, name="class")
+    timeout: Span | None = None
+    try_timeout: Span | None = None
+    attempts: Count | None = None
+    second_copy_after: Span | None = None
+    retry_on: tuple[Cause, ...] | None = None
+    retry_budget: Budget | None = None
+    max_in_flight: Count | None = None
+    max_waiting: Waiting | None = None
+    rate: Rate | None = None
+    limit_by: Literal["route", "tenant", "key"] = "route"
+
+
+class Log(Struct, frozen=True, forbid_unknown_fields=True):
+    """How the sidecar writes its log."""
+
+    format: Literal["console", "json"] = "console"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    repeats_per_s: Annotated[float, Meta(gt=0, le=MOST)] = 5.0
+
+
+class File(Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    version: Literal[1] = 1
+    class_: tuple[Class, ...] = msgspec.field(default=(), name="class")
+    route: tuple[Route, ...] = ()
+    log: Log = Log()
--- /dev/null
+++ b/rosechute/serve/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's file at work in a running sidecar."""
--- a/tests/backend.py
+++ b/tests/backend.py
@@ -11,6 +11,7 @@
 
 from dunefield import Settings
 from hollyport.core.address import Address
+from hollyport.core.log import SINK
 from hollyport.platform.config import Config
 from hollyport.sidecar import Sidecar
 
@@ -198,7 +199,10 @@
         async with asyncio.timeout(LIMIT_S):
             await scene()
 
-    uvloop.run(limited())
+    try:
+        uvloop.run(limited())
+    finally:
+        SINK.flush()
 
 
 def dump(raw: Any) -> bytes:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,20 +5,7 @@
 
 from build import MS, SECOND, accept, balancer, fleet, only, outcome
 
-from dunefield import (
-    Accept,
-    Alarm,
-    CloseIdle,
-    Defer,
-    Directory,
-    Echo,
-    Entry,
-    Fail,
-    How,
-    Probe,
-    Refuse,
-    Submit,
-)
+from dunefield import Accept, Alarm, CloseIdle, Defer, Directory, Echo, Entry, Fail, How, Probe, Refuse, Submit
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/test_odd.py
+++ b/tests/test_odd.py
@@ -8,20 +8,7 @@
 import pytest
 from build import MS, SECOND, accept, balancer, fleet, only, outcome
 
-from dunefield import (
-    Accept,
-    Alarm,
-    Defer,
-    Directory,
-    Echo,
-    Entry,
-    Fail,
-    Hangup,
-    How,
-    Refuse,
-    Response,
-    Submit,
-)
+from dunefield import Accept, Alarm, Defer, Directory, Echo, Entry, Fail, Hangup, How, Refuse, Response, Submit
 from dunefield.adapter import Host
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -141,12 +141,12 @@
 
             written(tmp_path, "{")
             process.send_signal(signal.SIGHUP)
-            assert b"old configuration kept" in await process.stderr.readline()
+            assert b"old_configuration_kept" in await process.stderr.readline()
             assert (await client.ask())[0] == 200 and len(one.calls) == 2
 
             written(tmp_path, {**raw, "discovery": f"127.0.0.1:{new.port}"})
             process.send_signal(signal.SIGHUP)
-            assert b"discovery at" in await process.stderr.readline()
+            assert b"reload.taken" in await process.stderr.readline()
             assert await asked["new"].get() == "/api/targets"  # the whole list first
             assert "after=3&" in await asked["new"].get()  # and on with its own numbers
             assert (await client.ask())[0] == 200 and len(two.calls) == 1
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,20 +10,7 @@
 import pytest
 from backend import Call, Conversation, Server, dump, line, listing, ok, play, settings, sidecar
 
-from dunefield import (
-    Accept,
-    CloseIdle,
-    Fail,
-    Fetch,
-    Hangup,
-    How,
-    Note,
-    Probe,
-    Refuse,
-    Response,
-    Retract,
-    Submit,
-)
+from dunefield import Accept, CloseIdle, Fail, Fetch, Hangup, How, Note, Probe, Refuse, Response, Retract, Submit
 from hollyport.core.address import Address
 from hollyport.http1.connection import Connection
 from hollyport.http1.upstream import Upstream
@@ -244,7 +231,7 @@
             assert float(server.calls[0].headers["X-Timeout"]) > 4.8
             assert float(server.calls[1].headers["X-Timeout"]) < 4.6
     play(scene)
-    assert "stood still" in capfd.readouterr().err
+    assert "stood_still" in capfd.readouterr().err
 
 
 def test_a_fault_while_a_request_is_taken_is_logged_and_answered(monkeypatch, capfd):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -85,7 +85,7 @@
             await came.wait()
             new, control = await platform.start()
             old.send_signal(signal.SIGTERM)
-            await heard(new, b"clients are taken here")
+            await heard(new, b"takeover.clients_taken")
             fresh = await platform.client()
             assert (await fresh.ask("single_shot", "slow"))[0] == 409  # open at the old one
             assert (await (await platform.client()).ask("single_shot", "once"))[0] == 409
@@ -98,7 +98,7 @@
             assert (await operate(control, "GET /healthcheck"))[0] == 200
             third, _ = await platform.start()  # and once more
             new.send_signal(signal.SIGTERM)
-            await heard(third, b"clients are taken here")
+            await heard(third, b"takeover.clients_taken")
             assert (await (await platform.client()).ask())[0] == 200
             assert await asyncio.wait_for(new.wait(), LIMIT_S) == 0
             assert (await (await platform.client()).ask())[0] == 200
@@ -114,7 +114,7 @@
                 assert (await client.ask())[0] == 200
             new, _ = await platform.start()
             old.send_signal(signal.SIGTERM)
-            await heard(new, b"clients are taken here")
+            await heard(new, b"takeover.clients_taken")
             assert (await kept[0].ask("single_shot", "at-old"))[0] == 200  # its connection is the old one's
             assert (await (await platform.client()).ask("single_shot", "at-old"))[0] == 409
             assert (await (await platform.client()).ask("single_shot", "at-new"))[0] == 200
@@ -128,7 +128,7 @@
             old, _ = await platform.start()
             new, _ = await platform.start()
             old.kill()
-            await heard(new, b"clients are taken here")
+            await heard(new, b"takeover.clients_taken")
             assert (await (await platform.client()).ask())[0] == 200
     play(scene)
 
@@ -138,7 +138,7 @@
         async with Server(ok) as server, Platform(tmp_path, line("s1", server.port)) as platform:
             old, _ = await platform.start()
             _, link = await asyncio.open_unix_connection(str(tmp_path / takeover.NAME))
-            await heard(old, b"a new process has called")
+            await heard(old, b"takeover.called")
             link.close()
             assert (await (await platform.client()).ask())[0] == 200
             new, _ = await platform.start()
@@ -147,7 +147,7 @@
             assert (await (await platform.client()).ask())[0] == 200
             last, _ = await platform.start()  # the next one still finds the old one
             old.send_signal(signal.SIGTERM)
-            await heard(last, b"clients are taken here")
+            await heard(last, b"takeover.clients_taken")
             assert (await (await platform.client()).ask())[0] == 200
     play(scene)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -73,7 +73,7 @@
                     await registry.asked.get()
                 assert (await (await world.client()).ask())[0] == 200
     play(scene)
-    assert "entry left out" in capfd.readouterr().err
+    assert "entry_left_out" in capfd.readouterr().err
 
 
 def test_nothing_new_goes_to_a_draining_server_and_a_restart_begins_a_new_pool():
