--- a/dunefield/__init__.py
+++ b/dunefield/__init__.py
@@ -5,6 +5,7 @@
     Action,
     Alarm,
     Begun,
+    Bounds,
     CloseIdle,
     Defer,
     Directory,
@@ -23,6 +24,7 @@
     RequestClass,
     Response,
     Retract,
+    RetryBudget,
     Settings,
     SettingsError,
     Submit,
@@ -32,8 +34,8 @@
 from dunefield.rules import Balancer
 
 __all__ = [
-    "Accept", "Action", "Alarm", "Balancer", "Begun", "CloseIdle", "Defer", "Directory", "Echo", "Entry",
+    "Accept", "Action", "Alarm", "Balancer", "Begun", "Bounds", "CloseIdle", "Defer", "Directory", "Echo", "Entry",
     "Event", "Fail", "Fetch", "Hangup", "Heard", "How", "Note", "Probe", "Reconfigure", "Refuse",
-    "RequestClass", "Response", "Retract", "Settings", "SettingsError", "Submit", "Subscribe", "Tell",
+    "RequestClass", "Response", "Retract", "RetryBudget", "Settings", "SettingsError", "Submit", "Subscribe", "Tell",
 ]
 __version__ = "0.2.0"
--- a/hollyport/core/calls.py
+++ b/hollyport/core/calls.py
@@ -149,9 +149,13 @@
 class Core(Generic[Q, R]):
     """One balancer of the decision module, its clock and timers, and the calls it decides on."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ends: Ends, longest_ns: int) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, ends: Ends, longest_ns: int,
+        clock: Callable[[], int] | None = None, monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.loop, self.ends = loop, ends
-        self.clock = Clock()
+        self.clock = clock or Clock()
+        self._monotonic = monotonic
         self.calls: dict[str, Call[Q, R]] = {}
         self.taken = 0  # requests that are owed an answer
         self.until: float | None = None  # when this process ends, once that is known
@@ -323,7 +327,7 @@
         stalled = self._stalled()
         if stalled > STALL_S:
             LOG.warning("loop.stood_still", seconds=round(stalled, 3))
-        self._beat_due = time.monotonic() + BEAT_S
+        self._beat_due = self._monotonic() + BEAT_S
         self.loop.call_later(BEAT_S, self._beat)
 
     def _stalled(self) -> float:
@@ -332,7 +336,7 @@
         Protects the client's deadline, which counts from its sending: a process short of CPU reads late and
         would count from there.
         """
-        return max(0.0, time.monotonic() - self._beat_due) if self._beat_due else 0.0
+        return max(0.0, self._monotonic() - self._beat_due) if self._beat_due else 0.0
 
     # --- actions out
 
--- a/rosechute/file/reading.py
+++ b/rosechute/file/reading.py
@@ -180,10 +180,11 @@
 
 def _plain(text: str, kind: Any) -> str:
     """An error of the library's in the words of the file."""
+    text = text.replace(" | null", "").replace(".0`", "`")
     for pattern, words in WORDS:
         found = pattern.search(text)
         if found is not None:
-            return found.expand(words)
+            return found.expand(words).replace(".0 or", " or")
     if text.startswith("Invalid enum value"):
         wrong = text.partition("value ")[2].partition(" - ")[0].strip("'\"")
         return f"{wrong!r} is not one of {', '.join(_choices(kind))}{nearest(wrong, _choices(kind))}"
--- /dev/null
+++ b/tests/test_file_good.py
@@ -0,0 +1,98 @@
+"""Good files: what they say holds, with defaults from the right place."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from samples import MS, file, proven, route, settings, site
+
+from dunefield import How
+from rosechute.file.effective import BARE, Site
+from rosechute.file.units import LONGEST_NS, UNITS, shown, span
+from rosechute.limits.rate import RateLimit
+
+CLASS = """[[class]]
+name = "confirm-booking"
+repeat = "guarded"
+deadline = "2.5s"
+aim = "600ms"
+window = "1.5s"
+"""
+ROUTE = """[[route]]
+name = "confirm"
+method = "POST"
+path = "/confirm-booking/{id}"
+tenant = "charity-partners"
+class = "confirm-booking"
+timeout = "2s"
+try_timeout = "500ms"
+attempts = 2
+second_copy_after = "300ms"
+retry_on = ["connect-failed", "full", "reset", "error", "timeout"]
+retry_budget = { ratio = 0.2, min_per_s = 3 }
+max_in_flight = 50
+max_waiting = 100
+rate = { per_s = 40, burst = 20 }
+limit_by = "tenant"
+"""
+
+
+def test_every_key_reaches_the_limiter_and_the_module():
+    for against in (site(), BARE):
+        found = proven(file(CLASS, ROUTE), against)
+        limits = found.routes[0].limits()
+        assert limits.timeout_ns == 2000 * MS and limits.cls == "confirm-booking"
+        assert (limits.max_in_flight, limits.max_waiting, limits.limit_by) == (50, 100, "tenant")
+        assert limits.rate == RateLimit(25 * MS, 20)
+        assert (limits.share.ratio, limits.share.min_per_s, limits.share.floor) == (0.2, 3.0, 30.0)
+        bounds = limits.bounds
+        assert (bounds.attempts, bounds.try_ns, bounds.copy_after_ns) == (2, 500 * MS, 300 * MS)
+        assert bounds.retry_on == {How.CONNECT_FAILED, How.FULL, How.RESET, How.ERROR, How.TIMEOUT}
+        assert found.classes["confirm-booking"].window_ns == 1500 * MS
+
+
+def test_what_is_left_out_is_the_platforms():
+    route_ = proven(file(route())).routes[0]
+    assert route_.limits().bounds is None and not route_.limits().limited
+    rows = {key: (value, source) for key, value, source in route_.rows()}
+    assert rows["timeout"] == ("1.5s", "class list-rooms: deadline")
+    assert rows["attempts"] == ("5", "settings: limits.maxAttempts")
+    assert rows["rate"] == ("none", "default") and rows["class"] == ("list-rooms", "the path's first part")
+
+
+def test_a_class_may_be_made_stricter_and_no_route_is_needed():
+    text = file('[[class]]\nname = "confirm-booking"\nrepeat = "single_shot"\ndeadline = "1s"\n')
+    cls = proven(text).classes["confirm-booking"]
+    assert (cls.repeat, cls.deadline_ns, cls.aim_ns, cls.group) == ("single_shot", 1000 * MS, 600 * MS, "cell")
+    assert proven("version = 1\n").routes == ()
+
+
+def test_a_path_outside_the_classes_takes_the_class_it_names():
+    found = proven(file(route(path='"/api/v1/rooms/{id}"', class_='"list-rooms"'))).routes[0]
+    assert found.cls.repeat == "free" and found.class_source == "route r: class"
+
+
+def test_the_window_counts_attempts_copies_and_connecting():
+    text = file('[[class]]\nname = "confirm-booking"\nwindow = "750ms"\n',
+                route(path='"/confirm-booking"', attempts=2, try_timeout='"500ms"', timeout='"2s"'))
+    assert proven(text).routes[0].latest_repeat_ns(250 * MS) == 750 * MS
+    assert proven(text.replace("attempts = 2", "attempts = 1")).routes[0].latest_repeat_ns(250 * MS) == 0
+
+
+@pytest.mark.parametrize("text, ns", [("250ms", 250 * MS), ("2.5s", 2500 * MS), ("1h", 3600 * 10**9),
+                                      ("0.5us", 500), ("1 s", 10**9), ("90m", 5400 * 10**9)])
+def test_times(text, ns):
+    assert span(text) == ns
+
+
+@given(st.integers(1, LONGEST_NS))
+def test_a_time_that_is_shown_reads_as_about_the_same(ns):
+    text = shown(ns)
+    if text.endswith("ns"):
+        assert ns < UNITS["us"]
+    else:
+        assert abs(span(text) - ns) <= ns * 1e-5 + 1
+
+
+def test_settings_tell_the_site():
+    made = Site.of(settings(), 512, 64)
+    assert made.tenants == ("charity-partners", "community-hirers") and made.max_attempts == 5
