Read plain whole requests and answers without the parser, which stays for all else

Need: processor time a request is what part of a core is spent on.

Tests hold the two against each other on drawn messages, and take turns on one connection.

--- a/hollyport/http1/admission.py
+++ b/hollyport/http1/admission.py
@@ -40,11 +40,13 @@
         Method and key tell how a request may be repeated, so one that was sent by the settings before is
         known by its form, and taken by them.
         """
-        told: dict[bytes, bytes] = {}
-        for name, value in message.headers:
-            if name in told and name in ONCE:
-                return 400  # two readers could take one each
-            told.setdefault(name, value)
+        told = message.told
+        if told is None:
+            told = {}
+            for name, value in message.headers:
+                if name in told and name in ONCE:
+                    return 400  # two readers could take one each
+                told.setdefault(name, value)
         rid = told.get(b"x-request-id", b"")
         if ID.fullmatch(rid) is None or message.target[:1] != b"/":
             return 400
@@ -103,7 +105,9 @@
 
 
 def _cookie(header: bytes | None, name: bytes) -> str:
-    for part in (header or b"").split(b";"):
+    if not header:
+        return ""
+    for part in header.split(b";"):
         key, _, value = part.strip().partition(b"=")
         if key == name:
             return value.decode("latin-1")
--- a/hollyport/http1/client.py
+++ b/hollyport/http1/client.py
@@ -14,6 +14,7 @@
 
 from hollyport.core.flow import Body, Budget, Source
 from hollyport.core.log import LOG
+from hollyport.http1 import quick
 from hollyport.http1.message import Headers, Message, head
 
 MAX_BODY = 33 << 20  # of a request; 32 MB are promised
@@ -122,7 +123,25 @@
         if self._rest:
             self._rest += data
             return
-        self._feed(data)
+        if self._raw or self._message is not None or self._active is not None or not self._quick(data):
+            self._feed(data)
+
+    def _quick(self, data: bytes) -> bool:
+        """Take a request that came whole and by itself; whether it was one. Between messages alone, where the
+        parser has nothing of it yet."""
+        if self._waiting or self._full or self._overfull or self._error:
+            return False
+        found = quick.request(data, MAX_HEAD, self._budget.share)
+        if found is None:
+            return False
+        message = Message(self)
+        message.method, message.target, message.headers, message.told, message.body = found
+        message.came, message.complete = self.heard, True
+        self._spoke = True
+        if message.body:
+            self._hold(len(message.body))
+        self._begin(message)
+        return True
 
     def _feed(self, data: bytes) -> None:
         """Parse piece by piece, for as long as more requests may wait."""
--- a/hollyport/http1/connection.py
+++ b/hollyport/http1/connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from hollyport.core.flow import RECEIVE, Body, Budget, Sink
+from hollyport.http1 import quick
 
 MAX_BODY = 33 << 20  # of an answer that is passed on; 32 MB are promised
 MAX_KEPT = 1 << 20  # of one that is not
@@ -57,6 +58,7 @@
     ) -> None:
         self._on_lost = on_lost
         self._max_body = self._limit = max_body
+        self._plain = min(max_body, WHOLE)
         self._stall_s = stall_s  # how long an answer that has begun may pause; 0 for any time
         self._stall: asyncio.TimerHandle | None = None
         self._budget = budget
@@ -90,7 +92,10 @@
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
         # Without a buffer to hide in, a write that the kernel did not take whole shows in pause_writing.
         self._transport.set_write_buffer_limits(high=0)
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        made = transport.get_extra_info("socket")
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        self._poll = select.poll()
+        self._poll.register(made.fileno(), select.POLLIN)
 
     def pause_writing(self) -> None:
         self._blocked = True
@@ -106,8 +111,14 @@
         if self._done is None or self._parser is None:
             self.abort()  # nobody asked: the two sides disagree about where an answer ends
             return
-        self._raw += len(data)
         self.progress += len(data)
+        if not self._raw and self._request is None:
+            # Nothing of this answer has been parsed: what is whole and plain needs no parser.
+            found = quick.reply(data, MAX_HEAD, self._plain)
+            if found is not None:
+                self._finish(Reply(200, *found))
+                return
+        self._raw += len(data)
         spoilt = False
         try:
             self._parser.feed_data(data)
@@ -264,9 +275,7 @@
         transport = self._transport
         if transport is None or transport.is_closing() or not self.reusable:
             return False
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._poll.poll(0)
 
     def pause(self) -> None:
         """Read no more for now: what is passed on is not taken."""
--- a/hollyport/http1/message.py
+++ b/hollyport/http1/message.py
@@ -14,6 +14,7 @@
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }
+FIRST_LINES = {status: b"HTTP/1.1 %d %s\r\n" % (status, reason.encode()) for status, reason in REASONS.items()}
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade",
@@ -47,7 +48,7 @@
 
     __slots__ = (
         "method", "target", "headers", "body", "stream", "complete", "chunks", "keep_alive", "connection",
-        "came", "tid", "head",
+        "came", "tid", "head", "told",
     )
 
     def __init__(self, connection: Way) -> None:
@@ -61,6 +62,7 @@
         self.came = 0.0  # when its last byte was read, by the loop's clock
         self.tid = ""  # for the core: which call this became
         self.head = b""  # as servers get it, but for what differs by attempt
+        self.told: dict[bytes, bytes] | None = None  # the headers by name, where none stands there twice
 
     def header(self, name: bytes) -> bytes | None:
         """The first header of this lower-case name."""
@@ -82,7 +84,7 @@
     def answer(self, ending: Ending, reply: Reply | None = None, hold_off_ns: int = 0) -> None:
         """Send the final answer. A second one is ignored, as is one to a client that has left."""
         if reply is not None:
-            self.reply(200, reply.body, returned(reply))
+            self.connection.answer(self, 200, reply.body, returned(reply))
         else:
             headers = [(b"Retry-After", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else []
             self.reply(STATUS[ending], WORDS.get(ending, b""), headers)
@@ -107,12 +109,11 @@
 
 def head(status: int, length: int | None, headers: Headers, keep_alive: bool, chunked: bool = False) -> bytes:
     """The head of an answer."""
-    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Unknown").encode())]
+    lines = [FIRST_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status]
     if chunked:
         lines.append(b"Transfer-Encoding: chunked\r\n")
     elif length is not None:
         lines.append(b"Content-Length: %d\r\n" % length)
     lines += [b"%s: %s\r\n" % pair for pair in headers]
-    if not keep_alive:
-        lines.append(b"Connection: close\r\n")
-    return b"".join(lines) + b"\r\n"
+    lines.append(b"\r\n" if keep_alive else b"Connection: close\r\n\r\n")
+    return b"".join(lines)
--- /dev/null
+++ b/tests/test_quick.py
@@ -0,0 +1,140 @@
+"""Whole plain messages read without the parser: the same as with it, and nothing that it would refuse."""
+
+import asyncio
+
+import httptools
+import pytest
+from backend import Client, Server, line, ok, play, sidecar
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from hollyport.http1 import quick
+
+MOST = 1 << 16
+
+
+class Parsed:
+    """What the parser makes of a message."""
+
+    def __init__(self, kind, data):
+        self.fields, self.body, self.url, self.whole, self.messages = [], b"", b"", False, 0
+        self.parser = kind(self)
+        self.wrong = False
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.wrong = True
+
+    def on_message_begin(self):
+        self.messages += 1
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, value):
+        self.fields.append((name.lower(), value.strip(b" \t")))
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        self.whole = True
+        self.keep = self.parser.should_keep_alive()
+
+
+NAMES = st.sampled_from([b"Host", b"X-Request-ID", b"Content-Length", b"Transfer-Encoding", b"Connection", b"Expect",
+                         b"x", b"X-Attrs", b"Cookie", b"Upgrade", b"a b", b"", b"Host ", b" folded"])
+VALUES = st.sampled_from([b" app", b" 3", b" 0", b"3", b" +3", b" 03", b" chunked", b" close", b" keep-alive", b"",
+                          b" \t x \t", b" a\x80b", b" a\x00b", b" a\rb", b" a\nb", b" 3, 3", b" 99999999999"])
+ENDS = st.sampled_from([b"\r\n", b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r\n "])
+
+
+@st.composite
+def messages(draw, first):
+    fields = draw(st.lists(st.tuples(NAMES, VALUES, ENDS), max_size=5))
+    usual = draw(st.booleans())
+    text = b"Host: a\r\n" if usual else b""
+    text += b"".join(name + b":" + value + end for name, value, end in fields)
+    return draw(first) + text + b"\r\n" + draw(st.sampled_from([b"", b"abc", b"abcd", b"GET / HTTP/1.1\r\n\r\n"]))
+
+
+REQUESTS = st.sampled_from([b"GET /a?b=1 HTTP/1.1\r\n", b"POST /a HTTP/1.1\r\n", b"GET /a HTTP/1.0\r\n",
+                            b"GET http://h/a HTTP/1.1\r\n", b"GET /a b HTTP/1.1\r\n", b"PUT /a HTTP/1.1\r\n",
+                            b"get /a HTTP/1.1\r\n", b"GET  /a HTTP/1.1\r\n", b"GET /a\x80 HTTP/1.1\r\n"])
+REPLIES = st.sampled_from([b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 \r\n", b"HTTP/1.1 500 No\r\n",
+                           b"HTTP/1.0 200 OK\r\n",
+                           b"HTTP/1.1 204 OK\r\n", b"HTTP/1.1 100 Go on\r\n", b"HTTP/1.1 200\r\n"])
+
+
+@given(messages(REQUESTS))
+@example(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+@example(b"GET /a HTTP/1.1\r\nHost: a\r\nX-Request-ID: 7\r\nCookie: key=1\r\n\r\n")
+def test_a_request_that_is_taken_is_read_as_the_parser_reads_it(data):
+    found = quick.request(data, MOST, MOST)
+    if found is None:
+        return
+    seen = Parsed(httptools.HttpRequestParser, data)
+    assert seen.whole and not seen.wrong and seen.messages == 1 and seen.keep
+    assert (found.fields, found.body, found.target) == (seen.fields, seen.body, seen.url)
+    assert found.method == seen.parser.get_method() and seen.parser.get_http_version() == "1.1"
+    assert found.told == dict(seen.fields) and len(found.told) == len(seen.fields)
+
+
+@given(messages(REPLIES))
+@example(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Server-Load: {}\r\n\r\nabc")
+def test_an_answer_that_is_taken_is_read_as_the_parser_reads_it(data):
+    found = quick.reply(data, MOST, MOST)
+    if found is None:
+        return
+    seen = Parsed(httptools.HttpResponseParser, data)
+    assert seen.whole and not seen.wrong and seen.messages == 1 and seen.keep
+    assert found == (seen.fields, seen.body) and seen.parser.get_status_code() == 200
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_left_to_the_parser_or_read_as_it_does(data):
+    assert quick.request(b"GET /a HTTP/1.1\r\n" + data, MOST, MOST) is None or b"\r\n\r\n" in data
+    assert quick.reply(b"HTTP/1.1 200 OK\r\n" + data, MOST, MOST) is None or b"\r\n\r\n" in data
+
+
+@pytest.mark.parametrize("data", [
+    b"GET /a HTTP/1.1\r\n\r\n", b"GET /a HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n",
+    b"GET /a HTTP/1.1\r\nHost: a\r\nX: 1\r\nX: 2\r\n\r\n", b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\nabc",
+    b"GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabc", b"GET /a HTTP/1.1\r\nHost: a\r\n",
+])
+def test_what_is_out_of_the_ordinary_is_left_to_the_parser(data):
+    assert quick.request(data, MOST, MOST) is None
+
+
+def test_sizes_are_kept_to():
+    body = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n" + b"x" * 9
+    assert quick.request(body, MOST, 9) and not quick.request(body, MOST, 8) and not quick.request(body, 20, 9)
+
+
+def test_both_ways_take_turns_on_one_connection():
+    """A request in pieces, one whole, two at once and one whole again: each is answered, in order."""
+    async def scene():
+        async with Server(ok) as server, sidecar(*(line(f"s{i}", server.port) for i in range(4))) as world:
+            client: Client = await world.client()
+
+            def asking(rid):
+                return b"GET /free HTTP/1.1\r\nHost: a\r\nX-Request-ID: %s\r\n\r\n" % rid
+
+            for turn in range(3):
+                names = [b"%d-%d" % (turn, i) for i in range(6)]
+                await client.send(asking(names[0])[:20])
+                await asyncio.sleep(0.01)
+                await client.send(asking(names[0])[20:])
+                assert (await client.answer())[2] == names[0]
+                await client.send(asking(names[1]))
+                assert (await client.answer())[2] == names[1]
+                await client.send(asking(names[2]) + asking(names[3]))
+                assert [(await client.answer())[2] for _ in range(2)] == names[2:4]
+                await client.send(asking(names[4]))
+                await client.send(asking(names[5]))
+                assert [(await client.answer())[2] for _ in range(2)] == names[4:6]
+
+    play(scene)
