--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -33,6 +33,10 @@
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 OVERTAKEN = 2  # later calls that are answered first while one hangs: a single one may be chance
 RETRY_RATIO = 0.2  # further attempts earned by one request
+MOST_TOKENS = 2.0 / RETRY_RATIO
+# Looked up once: an enumeration's members cost ten times a name's look-up, and each event meets a dozen.
+OK, ERROR, FULL, TIMEOUT = How.OK, How.ERROR, How.FULL, How.TIMEOUT
+CONNECT_FAILED, RESET, CANCELLED, MOOT = How.CONNECT_FAILED, How.RESET, How.CANCELLED, How.MOOT
 
 
 class Balancer:
@@ -144,11 +148,16 @@
 
     def _count(self, now: int, number: int) -> None:
         """Rate of requests and share of each class, over about one horizon."""
-        span = min(self._horizon, now - self._begun_at + self._pace)
-        self._rate = pulse(self._rate, now - self._heard_at, span)
+        self._rate = pulse(self._rate, now - self._heard_at, self._span(now))
         self._heard_at = now
         self._crowding.count(number)
-        self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
+        tokens = self._tokens + RETRY_RATIO
+        self._tokens = tokens if tokens < MOST_TOKENS else MOST_TOKENS
+
+    def _span(self, now: int) -> int:
+        """Over how long rates are smoothed: one horizon, or what there has been of it."""
+        span = now - self._begun_at + self._pace
+        return span if span < self._horizon else self._horizon
 
     def _shed(self, now: int, number: int, size: float) -> bool:
         """Exception "shedding": the fleet answers slower than when uncrowded, so part of the calls must not
@@ -193,7 +202,7 @@
         """Whether the call's route lets it be sent again after this outcome. What was withdrawn before its
         first byte is no cause of its own: nothing has been sent."""
         causes = call.bounds.retry_on if call.bounds is not None else None
-        return causes is None or how == How.MOOT or (How.TIMEOUT if how == How.CANCELLED else how) in causes
+        return causes is None or how == MOOT or (TIMEOUT if how == CANCELLED else how) in causes
 
     def _on_response(self, now: int, event: Response) -> None:
         attempt = self._attempts.pop((event.tid, event.attempt), None)
@@ -202,10 +211,10 @@
         server = attempt.server
         server.inflight -= 1
         server.used = now
-        if event.how == How.OK:
+        if event.how == OK:
             server.heard = now
             self._overtake(now, attempt)
-        stale = event.how == How.RESET and self._stale(now, attempt.idle, event.lag_ns)
+        stale = event.how == RESET and self._stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
             if not stale:
@@ -352,10 +361,9 @@
     # --- learning -------------------------------------------------------------------------------
 
     def _learn(self, now: int, attempt: Attempt, event: Response) -> None:
-        if event.how == How.OK and event.lag_ns > 0:
+        if event.how == OK and event.lag_ns > 0:
             server = attempt.server
-            span = min(self._horizon, now - self._begun_at + self._pace)
-            self._served, self._served_at = pulse(self._served, now - self._served_at, span), now
+            self._served, self._served_at = pulse(self._served, now - self._served_at, self._span(now)), now
             service = event.lag_ns * server.ramp(now, self._set.invariants)  # cold is no fault, and passes
             sample = service / attempt.size
             known = server.stretch if server.seen else self._stretch
@@ -371,21 +379,21 @@
 
     def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
         """How crowded the fleet is, from own answers alone."""
-        silent = event.how == How.TIMEOUT and attempt.server.seen < attempt.sent  # to every call, as in a jam
-        if self._probing or not (silent or event.how in (How.OK, How.FULL)):
+        silent = event.how == TIMEOUT and attempt.server.seen < attempt.sent  # to every call, as in a jam
+        if self._probing or not (silent or event.how in (OK, FULL)):
             return  # echoes tell it better
-        slow = event.how != How.OK or event.lag_ns > SLOW * attempt.size
+        slow = event.how != OK or event.lag_ns > SLOW * attempt.size
         self._crowding.felt(now, slow)
 
     def _judge(self, now: int, attempt: Attempt, how: int) -> None:
         """Budget, trial and conviction after an outcome."""
         server = attempt.server
-        if how in (How.CANCELLED, How.MOOT):
+        if how in (CANCELLED, MOOT):
             return  # withdrawn or never sent: no verdict on the server
-        broken = how in (How.CONNECT_FAILED, How.RESET)
+        broken = how in (CONNECT_FAILED, RESET)
         if broken and not self._struck(now, server, attempt.sent):
             return
-        failed = how != How.OK
+        failed = how != OK
         before = server.k
         if attempt.trial:
             if failed:
@@ -396,14 +404,14 @@
                 server.backoff = server.retry_at = 0
         elif broken and server.k:
             server.k //= 2
-        if how == How.FULL:
+        if how == FULL:
             server.figure = max(1.0 / STEPS, server.figure * 0.7)
-        elif how == How.TIMEOUT:
+        elif how == TIMEOUT:
             self._unanswered(now, attempt)
         elif not failed:
             server.mute.pop(attempt.cls, None)
             server.figure = min(FIGURE, server.figure + GAIN / 8)
-        again, server.erred = server.erred, how == How.ERROR
+        again, server.erred = server.erred, how == ERROR
         if server.erred and again and self._may_convict():
             # Exception "conviction": failing servers answer fast, look idle and would draw all calls. Not at
             # a first error: healthy ones have those, too, and a small fleet would lack them for nothing.
@@ -490,8 +498,10 @@
         # fill the servers' connection tables, and handshakes take capacity. One server more for every two
         # calls in flight keeps a busy sidecar off its few.
         need = 0.5 * self._rate * call.size
-        size = min(len(self._subset), self._subset_size + int(need) + turn // 4)
-        self._reach = max(1, size)
+        size, most = self._subset_size + int(need) + turn // 4, len(self._subset)
+        if size > most:
+            size = most
+        self._reach = size or 1
         return self._subset[int(self._random() * size)] if size else None
 
     def _pick(self, now: int, call: Call) -> tuple[Server | None, bool, float]:
@@ -639,14 +649,14 @@
         limit = call.deadline if call.cls.late_worth > 0 else call.aim_at
         if self._tokens >= 1.0 and now + call.size * self._stretch / 2 < limit and call.attempts < call.most:
             if self._probing and (call.ran_on is None or call.cls.repeat == "free"):
-                if how == How.MOOT or self._affords(now, call):
+                if how == MOOT or self._affords(now, call):
                     self._tokens -= 1.0
                     self._ask(now, call)
                     return
             else:
                 server, trial, _ = self._pick(now, call)
                 if server is not None and self._may_go(now, call, server) and (
-                    how == How.MOOT or self._affords(now, call)
+                    how == MOOT or self._affords(now, call)
                 ):
                     self._tokens -= 1.0
                     self._send(now, call, server, trial)
@@ -688,12 +698,12 @@
         if server is None:
             return
         askers, server.askers = server.askers, []
-        if event.how == How.OK:
+        if event.how == OK:
             server.heard = now
             # A server that answers without a report is taken for busy, as its machine may be: never for idle.
             server.load = event.load.get("inflight", event.load.get("queue", max(server.load, UNTOLD)))
-        elif event.how == How.ERROR or (
-            event.how in (How.TIMEOUT, How.CONNECT_FAILED) and self._struck(now, server, now - event.lag_ns)
+        elif event.how == ERROR or (
+            event.how in (TIMEOUT, CONNECT_FAILED) and self._struck(now, server, now - event.lag_ns)
         ):
             server.mute_until = now + self._horizon  # draining, down, cut off or standing still: ask others
         # All else tells of the probe, not of the server: its connection was old, its answer unreadable, or
@@ -702,9 +712,9 @@
             if not call.pending or call.tid not in self._calls:
                 continue
             call.pending -= 1
-            if event.how == How.OK:
+            if event.how == OK:
                 call.queue = min(call.queue, event.load.get("queue", call.queue))
-            if event.how == How.OK and self._fits(now, server):
+            if event.how == OK and self._fits(now, server):
                 best = call.best
                 wait = (server.load + 1.0) * self._speed(now, server)
                 if best is None or wait < call.best_wait:
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -56,9 +56,9 @@
 
     def ramp(self, now: int, inv: Invariants) -> float:
         """The share of its capacity that a server has at worst, being cold."""
-        age = now - self.started
-        if self.started <= 0 or age >= inv.cold_ns:
+        if self.started <= 0 or now - self.started >= inv.cold_ns:
             return 1.0
+        age = now - self.started
         return inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
 
     def avoided(self, now: int, classes: Sequence[int]) -> bool:
@@ -68,7 +68,9 @@
 
     @property
     def budget(self) -> int:
-        return max(1, int(self.k * self.figure)) if self.k else 0
+        if not self.k:
+            return 0
+        return int(self.k * self.figure) or 1
 
 
 class Classes:
--- a/hollyport/core/calls.py
+++ b/hollyport/core/calls.py
@@ -48,6 +48,8 @@
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
 ENDED = {Ending.SERVED: "served", Ending.REFUSED: "refused", Ending.GONE: "gone"}  # all else is "failed"
 CONNECTING_S = 2.0  # how long a request whose body is still coming in may wait for a connection
+# Looked up once: an enumeration's members cost ten times a name's look-up.
+OK, TIMEOUT, MOOT, SERVED = How.OK, How.TIMEOUT, How.MOOT, Ending.SERVED
 
 
 class Ends(Protocol):
@@ -121,24 +123,24 @@
         if call.guard is not None:
             call.guard.cancel()
         lag = core.clock() - self._written
-        core.deliver(Response(call.tid, How.OK, lag, self._server, self._number, True, load))
+        core.deliver(Response(call.tid, OK, lag, self._server, self._number, True, load))
         return call.request
 
     def outcome(self, how: How, reply: R | None, load: Load) -> None:
         call, core = self._call, self._core
         attempt = call.out.pop(self._number, None)
         if attempt is not None and attempt is call.passing:
-            whole = how is How.OK
+            whole = how is OK
             call.passing = None
-            core.finish(call, Ending.SERVED if whole else Ending.FAILED)
+            core.finish(call, SERVED if whole else Ending.FAILED)
             call.request.end(whole)
             core.forget(call)
             return
         call.maybe_ran = call.maybe_ran or how not in NEVER_RAN
         call.last = how
-        if how is How.OK and reply is not None and not call.over:
-            core.finish(call, Ending.SERVED)
-            call.request.answer(Ending.SERVED, reply)
+        if how is OK and reply is not None and not call.over:
+            core.finish(call, SERVED)
+            call.request.answer(SERVED, reply)
         lag = core.clock() - self._written
         stream = call.request.stream
         again = stream is None or not stream.begun
@@ -235,6 +237,9 @@
                 return
             if verdict.state == WAIT:
                 call.waits = True
+                if call.guard is None:
+                    # Its body is not read on while it waits, so its last byte may never come: no wait without end.
+                    call.guard = self.loop.call_later((wait - GUARD_NS) / 1e9, self._guard, call)
                 return
             bounds = verdict.bounds
         self._accept(call, wait, bounds)
@@ -253,6 +258,9 @@
             if call is None or call.over:
                 continue
             call.waits = False
+            if not call.request.complete and call.guard is not None:
+                call.guard.cancel()  # from here on its client's time counts from its last byte
+                call.guard = None
             gone = int((self.loop.time() - call.request.came) * 1e9) if call.request.complete else 0
             self._accept(call, max(0, call.wait_ns - max(0, gone)), bounds)
 
@@ -266,6 +274,8 @@
         call = self.calls.get(request.tid)
         if call is not None and not call.over:
             call.wait_ns = self._outlived(call.wait_ns - int(self._stalled() * 1e9), request.came)
+            if call.guard is not None:
+                call.guard.cancel()
             call.guard = self.loop.call_later((call.wait_ns - GUARD_NS) / 1e9, self._guard, call)
 
     def hangup(self, request: Q) -> None:
@@ -352,7 +362,7 @@
                 self._answer(tid, Ending.REFUSED, hold_off_ns)
             case Fail(tid):
                 call = self.calls.get(tid)
-                late = call is not None and call.last is How.TIMEOUT
+                late = call is not None and call.last is TIMEOUT
                 self._answer(tid, Ending.LATE if late else Ending.FAILED)
             case Retract(tid, number):
                 call = self.calls.get(tid)
@@ -381,7 +391,7 @@
             limit = (abandon - sent) / 1e9 if stream is None else CONNECTING_S
             attempt = self._backend.attempt(server, call.request, limit, watch)
         if attempt is None:
-            watch.outcome(How.MOOT, None, {})
+            watch.outcome(MOOT, None, {})
         else:
             call.out[number] = attempt
             attempt.start()
@@ -394,7 +404,7 @@
 
         attempt = self._backend.probe(server, self.probe_limit_s, echoed)
         if attempt is None:
-            echoed(How.MOOT, {})
+            echoed(MOOT, {})
         else:
             attempt.start()
 
--- a/hollyport/http1/quick.py
+++ b/hollyport/http1/quick.py
@@ -19,8 +19,9 @@
 REPLY = re.compile(rb"HTTP/1\.1 200 [ -~]*\r\n((?:" + _FIELD + rb")+)\r\n")
 LENGTH = re.compile(rb"[0-9]{1,8}")
 # Fields that decide how the message ends, or what becomes of the connection.
-APART = frozenset({b"transfer-encoding", b"connection", b"upgrade", b"expect", b"keep-alive", b"proxy-connection",
-                   b"te", b"trailer"})
+APART = frozenset({b"transfer-encoding", b"upgrade", b"expect", b"keep-alive", b"proxy-connection", b"te",
+                   b"trailer"})
+KEPT = (None, b"keep-alive", b"Keep-Alive")  # what the field `connection` may say: what holds without it
 
 
 class Request(NamedTuple):
@@ -43,6 +44,8 @@
     told = dict(fields)
     if len(told) != len(fields) or b"host" not in told or not APART.isdisjoint(told) or end > most_head:
         return None
+    if told.get(b"connection") not in KEPT:
+        return None
     length = told.get(b"content-length")
     size = len(data) - end
     if length is None:
@@ -66,7 +69,7 @@
             if length is not None:
                 return None
             length = value
-        elif name in APART:
+        elif name in APART or (name == b"connection" and value not in KEPT):
             return None
     size = len(data) - end
     if length is None or LENGTH.fullmatch(length) is None or int(length) != size:
--- a/hollyport/http1/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -13,6 +13,7 @@
 from hollyport.core.log import LOG
 from hollyport.http1.connection import Begin, Connection, Reply, Wrote
 
+OK = How.OK
 OWN_WANT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP_S = 1.0  # how often idle connections are looked through
 IDLE_SHARE = 0.4  # part of the servers' idle limit after which a connection is retired: a burst leaves many
@@ -200,7 +201,7 @@
 def outcome(reply: Reply) -> How:
     """What an answer says of the attempt; only a server that says so has not run it."""
     if reply.status == 200:
-        return How.OK
+        return OK
     if reply.status in (503, 504) and reply.header(b"x-not-processed") == b"1":
         return How.FULL
     return How.ERROR
--- a/tests/test_operated.py
+++ b/tests/test_operated.py
@@ -180,6 +180,27 @@
     play(tmp_path, file(free(max_in_flight=1, max_waiting=2)), scene)
 
 
+def test_a_body_too_long_to_hold_does_not_wait_without_end(tmp_path):
+    """It is not read on while it waits for its place, so only its guard can end that."""
+    async def scene(running, server):
+        gate, server.script = held()
+        client = Client(*await asyncio.open_connection("127.0.0.1", running.port))
+        first = asyncio.ensure_future(client.ask("single_shot", body=b"x"))
+        while not server.calls:
+            await asyncio.sleep(0.005)
+        other = Client(*await asyncio.open_connection("127.0.0.1", running.port))
+        size = 8 << 20
+        other.writer.write(b"POST /single_shot HTTP/1.1\r\nHost: a\r\nX-Request-ID: long\r\nX-Timeout: 0.5\r\n"
+                           b"Content-Length: %d\r\n\r\n" % size + b"y" * size)
+        start = time.monotonic()
+        assert (await other.answer())[0] == 503 and time.monotonic() - start < 3.0
+        other.writer.transport.abort()
+        gate.set()
+        assert (await first)[0] == 200 and len(server.calls) == 1
+
+    play(tmp_path, file(route(path='"/single_shot"', max_in_flight=1, max_waiting=2)), scene)
+
+
 def test_a_client_that_leaves_while_it_waits_frees_its_place(tmp_path):
     async def scene(running, server):
         gate, server.script = held()
--- a/tests/test_quick.py
+++ b/tests/test_quick.py
@@ -44,7 +44,8 @@
 
 NAMES = st.sampled_from([b"Host", b"X-Request-ID", b"Content-Length", b"Transfer-Encoding", b"Connection", b"Expect",
                          b"x", b"X-Attrs", b"Cookie", b"Upgrade", b"a b", b"", b"Host ", b" folded"])
-VALUES = st.sampled_from([b" app", b" 3", b" 0", b"3", b" +3", b" 03", b" chunked", b" close", b" keep-alive", b"",
+VALUES = st.sampled_from([b" app", b" 3", b" 0", b"3", b" +3", b" 03", b" chunked", b" close", b" keep-alive",
+                          b" Keep-Alive", b" keep-alive, close", b"",
                           b" \t x \t", b" a\x80b", b" a\x00b", b" a\rb", b" a\nb", b" 3, 3", b" 99999999999"])
 ENDS = st.sampled_from([b"\r\n", b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r\n "])
 
@@ -68,6 +69,7 @@
 
 @given(messages(REQUESTS))
 @example(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+@example(b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: keep-alive\r\n\r\n")
 @example(b"GET /a HTTP/1.1\r\nHost: a\r\nX-Request-ID: 7\r\nCookie: key=1\r\n\r\n")
 def test_a_request_that_is_taken_is_read_as_the_parser_reads_it(data):
     found = quick.request(data, MOST, MOST)
