--- a/hollyport/http1/quick.py
+++ b/hollyport/http1/quick.py
@@ -80,9 +80,5 @@
 
 
 def _fields(text: bytes) -> Fields:
-    fields = []
-    for line in text.split(b"\r\n"):
-        name, colon, value = line.partition(b":")
-        if colon:
-            fields.append((name.lower(), value.strip(b" \t")))
-    return fields
+    parts = [line.partition(b":") for line in text[:-2].split(b"\r\n")]  # each has its colon, by the expression
+    return [(name.lower(), value.strip(b" \t")) for name, _, value in parts]
