Deal out descriptors and the answer's margin in one place, and drop what nothing calls

Need: the proof at load wrote again how the process deals out its descriptors, the memory of the program and the margin of a request's time; a change on one side would have made the proof wrong without a word.

Change: hollyport/core/shares.py has the margin and the deal, and process, core and proof call it; memory figures come from core/flow. Gone: a mapping by name and an alias that nothing called, a function for one comparison, and an import inside a function. Behaviour stays.

--- a/hollyport/core/calls.py
+++ b/hollyport/core/calls.py
@@ -10,7 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
-from typing import Any, Generic, Protocol
+from typing import Generic, Protocol
 
 from dunefield.interface import (
     NEVER_RAN,
@@ -41,9 +41,9 @@
 from hollyport.core.flow import Sink
 from hollyport.core.log import LOG
 from hollyport.core.ports import REFUSE, WAIT, Asked, Attempt, Backend, Ending, Limiter, Load, Q, R
+from hollyport.core.shares import MARGIN_NS
 
-MARGIN_NS = 10_000_000  # the module's deadline comes this much before the client's: answers take their way
-GUARD_NS = 5_000_000  # and the last guard between the two
+GUARD_NS = 5_000_000  # the last guard, between the module's deadline and the client's
 BEAT_S = 0.02  # how often the loop shows that it runs
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
 ENDED = {Ending.SERVED: "served", Ending.REFUSED: "refused", Ending.GONE: "gone"}  # all else is "failed"
@@ -462,6 +462,3 @@
         ran = call.maybe_ran or bool(call.out)
         self._answer(call.tid, ending if ran and not free else Ending.REFUSED)
         self.deliver(Hangup(call.tid))  # for the module it is over, too
-
-
-AnyCore = Core[Any, Any]
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -17,6 +17,7 @@
 from hollyport.core.flow import Budget
 from hollyport.core.log import LOG, settle
 from hollyport.core.ports import Ending, Limiter, Routes
+from hollyport.core.shares import descriptors
 from hollyport.http1.admission import Gate
 from hollyport.http1.backend import HttpBackend
 from hollyport.http1.connection import Reply
@@ -33,7 +34,6 @@
 LIVE_ON_S = 3.0  # past that the platform does not wait, however long the deadlines
 SETTLE_S = 2.0  # how often the log tells of lines that were held back
 LOOK_S = 0.02  # how often a stopping sidecar looks whether all is answered
-RESERVE = 32  # descriptors for the program itself: loop, signals, log, discovery, files, operators
 
 
 class Policy(Protocol):
@@ -213,11 +213,9 @@
     def share(self, processes: int) -> None:
         """Keep to a part of the limits: so many processes are one sidecar."""
         sockets = self._config.sockets // processes
-        # Two budgets: neither a flood of clients nor slow servers may take the other side's descriptors.
-        # Clients may hold a third of all for requests; as many again are left to those that send none.
-        clients = max(1, (sockets - RESERVE) * 2 // 3)
+        clients, servers = descriptors(sockets)
         self._listener.resize(clients, sockets // 4)
-        self._upstream.resize(max(1, sockets - clients - RESERVE))
+        self._upstream.resize(servers)
         self._budget.resize(self._config.memory_mb, processes)
 
     def open_up(self) -> None:
--- a/rosechute/file/effective.py
+++ b/rosechute/file/effective.py
@@ -223,10 +223,5 @@
         own("rate", None if route.rate is None else rate_of(route.rate)),
         own("max_in_flight", route.max_in_flight),
         own("max_waiting", route.max_waiting, 0),
-        own("limit_by", route.limit_by if "limit_by" in _told(route) else None, "route"),
+        own("limit_by", None if route.limit_by == "route" else route.limit_by, "route"),
     )
-
-
-def _told(route: Route) -> set[str]:
-    """Keys whose value is not the default; `limit_by` alone has one that is not None."""
-    return {"limit_by"} if route.limit_by != "route" else set()
--- a/rosechute/file/proof.py
+++ b/rosechute/file/proof.py
@@ -17,6 +17,8 @@
 from typing import NamedTuple
 
 from dunefield.interface import RequestClass
+from hollyport.core.flow import PROGRAM_MB, SLACK
+from hollyport.core.shares import MARGIN_NS, descriptors
 from rosechute.file.effective import (
     HARMLESS,
     Effective,
@@ -28,14 +30,12 @@
     match_of,
 )
 from rosechute.file.problems import FileError, Problem, brief, nearest
+from rosechute.file.reading import line_of
 from rosechute.file.spec import GROUPS, REPEATS, File
 from rosechute.file.units import LONGEST_NS, shown
 from rosechute.routes.table import Match, Table, ambiguous
 
-KEPT_NS = 10_000_000  # of a request's time, for its answer's way back; the core's margin
-LEAST_NS = 2 * KEPT_NS  # a shorter time leaves a server nothing
-RESERVE = 32  # descriptors that the program keeps for itself
-PROGRAM_MB = 28  # memory of the program without requests
+LEAST_NS = 2 * MARGIN_NS  # a shorter time leaves a server nothing
 OPEN_BYTES = 16 * 1024  # memory of one open request with its connection
 LANE_BYTES = 1024  # and of one lane
 MOST_LANES = 65_536
@@ -89,7 +89,6 @@
     for check in CHECKS if checks is None else checks:
         problems += check(case)
     if problems:
-        from rosechute.file.reading import line_of
         told = [p._replace(line=line_of(p.path, dict(lines or {}))) for p in problems]
         raise FileError(sorted(told, key=lambda p: (p.line, p.path)))
     return Proven(file, classes, routes)
@@ -100,11 +99,6 @@
     return min(MOST_LANES, max(1024, (memory_mb - PROGRAM_MB) * (1 << 20) // 8 // LANE_BYTES))
 
 
-def client_descriptors(sockets: int) -> int:
-    """How many connections clients may hold, as the process deals out its descriptors."""
-    return max(1, (sockets - RESERVE) * 2 // 3)
-
-
 # --- classes
 
 
@@ -277,7 +271,7 @@
             yield Problem(at, told, f"the deadline of the class {found.cls.name!r} is "
                           f"{shown(found.cls.deadline_ns)} (one final answer)")
         if told < LEAST_NS:
-            yield Problem(at, told, f"it leaves a server no time: {shown(KEPT_NS)} of it are kept for the "
+            yield Problem(at, told, f"it leaves a server no time: {shown(MARGIN_NS)} of it are kept for the "
                           f"answer's way back, and {shown(LEAST_NS)} is the least")
 
 
@@ -370,8 +364,7 @@
         if waiting and not flight:
             yield Problem(f"{at}.max_waiting", waiting, "without max_in_flight nothing ever waits")
         if sockets is not None and flight:
-            clients = client_descriptors(sockets)
-            servers = max(1, sockets - clients - RESERVE)
+            clients, servers = descriptors(sockets)
             if flight > servers:
                 yield Problem(f"{at}.max_in_flight", flight, f"of {sockets} descriptors {servers} are for "
                               "connections to servers: it could never be reached (limits of the site)")
@@ -380,7 +373,7 @@
                               f"clients: {flight} in flight and {waiting} waiting do not fit (limits of the "
                               "site)")
         if memory is not None and flight:
-            room = max(0, memory - PROGRAM_MB) * (1 << 20) // 2
+            room = max(0, memory - PROGRAM_MB) * (1 << 20) // SLACK
             need = (flight + waiting) * OPEN_BYTES
             if need > room:
                 yield Problem(f"{at}.{'max_waiting' if waiting else 'max_in_flight'}", waiting or flight,
--- a/rosechute/limits/limiter.py
+++ b/rosechute/limits/limiter.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 from zlib import crc32
@@ -358,8 +358,3 @@
                 lane = self._lane(now, path, scope)
                 lane.full_at = max(lane.full_at, now + min(ahead, path.limits.rate.fill_ns))
         return True
-
-
-def by_name(routes: Iterable[Limits]) -> Mapping[str, Limits]:
-    """Limits by the name of their route."""
-    return {limits.name: limits for limits in routes}
