Add the lab's model, faults, judge and rivals, which drive the real decision module

Need: claims about routing, scale and recovery need a place where they can be measured at any size, with the same verdict each time, beside the policies that others use.

--- a/rosechute/file/reading.py
+++ b/rosechute/file/reading.py
@@ -60,7 +60,7 @@
         reason = f"it is not TOML: {str(error) or 'nested too deep'}"
         raise FileError([Problem("", None, reason, int(at[1]) if at else 0)]) from None
     lines = places(text)
-    reader = _Reader()
+    reader = Reader()
     file = reader.whole(raw)
     if reader.problems or file is None:
         raise FileError(p._replace(line=line_of(p.path, lines)) for p in reader.problems)
@@ -101,7 +101,7 @@
     return found
 
 
-class _Reader:
+class Reader:
     """Converts key by key, so that one wrong value does not hide the next."""
 
     def __init__(self) -> None:
--- /dev/null
+++ b/rosechute/lab/run.py
@@ -0,0 +1,30 @@
+"""One run from end to end: the world, its figures and its judge."""
+
+from __future__ import annotations
+
+from typing import Any, BinaryIO, NamedTuple
+
+from rosechute.lab.figures import Figures
+from rosechute.lab.judge import Judge
+from rosechute.lab.spec import Scenario
+from rosechute.lab.world import World
+
+
+class Run(NamedTuple):
+    """What came of a run."""
+
+    digest: str
+    result: dict[str, Any]
+    judge: Judge
+    figures: Figures
+    played: int
+
+
+def run(scenario: Scenario, policy: str = "module", seed: int = 1, file: BinaryIO | None = None) -> Run:
+    """Play a scenario once. The same arguments give the same run, byte for byte."""
+    figures, judge = Figures(scenario), Judge(scenario)
+    world = World(scenario, policy, seed, (figures, judge), file)
+    digest = world.play()
+    judge.finish()
+    result = {**figures.result(), "breaches": dict(judge.counts)}
+    return Run(digest, result, judge, figures, world.engine.played)
