--- a/hollyport/native.py
+++ b/hollyport/native.py
@@ -66,6 +66,8 @@
 
     Modules that are already loaded stay as they are, so this goes before any import of theirs.
     """
+    if any(isinstance(finder, Libraries) for finder in sys.meta_path):
+        return True
     files = {} if env.get(OFF) == "1" else found()
     if files:
         sys.meta_path.insert(0, Libraries(files))
--- /dev/null
+++ b/rosechute/command/lab.py
@@ -0,0 +1,295 @@
+"""`rosechute lab`: play scenarios, sweep over parameters and policies, compare, export."""
+
+from __future__ import annotations
+
+import csv
+import json
+import os
+import shlex
+import sqlite3
+import sys
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+from rich.table import Table
+
+from rosechute.file.problems import FileError
+from rosechute.lab.judge import Judge
+from rosechute.lab.library import load, names
+from rosechute.lab.rivals import NAMES
+from rosechute.lab.run import run as play
+from rosechute.lab.statistic import interval, verdict
+from rosechute.lab.store import Row, Store, program
+from rosechute.lab.sweep import sweep, tasks
+from rosechute.lab.trace import read as read_trace
+
+LESS_IS_BETTER = ("_ms", "refused", "failed", "late", "lost", "unanswered", "attempts_a_request", "breaches")
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+def changed(_: click.Context, __: click.Parameter, told: Sequence[str]) -> dict[str, list[Any]]:
+    """Options such as fleet.servers=10,20 as paths and values."""
+    found: dict[str, list[Any]] = {}
+    for text in told:
+        path, sep, values = text.partition("=")
+        if not sep or not path or not values:
+            raise click.BadParameter(f"{text!r} is not PATH=VALUE[,VALUE ...]")
+        found[path.strip()] = [_value(value) for value in values.split(",")]
+    return found
+
+
+def _value(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except json.JSONDecodeError:
+        return text
+
+
+def stored(required: bool = False) -> Callable[[F], F]:
+    return click.option("--store", type=click.Path(path_type=Path, dir_okay=False, exists=required),
+                        default=Path("lab.sqlite"), show_default=True, help="Where results are kept.")
+
+
+changes = click.option("--set", "changes", multiple=True, callback=changed, metavar="PATH=VALUE[,...]",
+                       help="Another value for a key of the scenario; several for a grid.")
+
+
+@click.group(epilog="Example: rosechute lab run calm")
+def command() -> None:
+    """Play scenarios in the lab: the real decision module and its rivals, against a model of servers and faults.
+
+    \b
+    Examples:
+      rosechute lab ls
+      rosechute lab run metastable --policy module --seed 3 --report report.html
+      rosechute lab sweep calm overload --policy module --policy two-choices --seeds 20
+      rosechute lab compare module two-choices
+    """
+
+
+def _load(name: str, change: dict[str, list[Any]]) -> Any:
+    for path, values in change.items():
+        if len(values) != 1:
+            raise click.BadParameter(f"{path} has {len(values)} values; one run takes one", param_hint="--set")
+    try:
+        return load(name, {path: values[0] for path, values in change.items()})
+    except FileError as error:
+        raise click.ClickException("\n".join(map(str, error.problems))) from None
+
+
+@command.command("run", epilog="Example: rosechute lab run slow-one --policy peak-ewma --seed 2 --report slow.html")
+@click.argument("scenario")
+@click.option("--policy", type=click.Choice(NAMES), default="module", show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--report", type=click.Path(path_type=Path, dir_okay=False), help="Write the run as one HTML file.")
+@click.option("--trace", type=click.Path(path_type=Path, dir_okay=False), help="Write every record.")
+@click.option("--format", "form", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@changes
+def run(scenario: str, policy: str, seed: int, report: Path | None, trace: Path | None, form: str,
+        changes: dict[str, list[Any]]) -> None:
+    """Play SCENARIO (a name of `lab ls`, or a file) once. Exit code 0 where all rules were kept, else 1."""
+    wanted = _load(scenario, changes)
+    if trace is not None:
+        with trace.open("wb") as file:
+            done = play(wanted, policy, seed, file)
+    else:
+        done = play(wanted, policy, seed)
+    if report is not None:
+        from rosechute.lab.report import page
+        again = ["rosechute", "lab", "run", scenario, "--policy", policy, "--seed", str(seed)]
+        for path, values in changes.items():
+            again += ["--set", f"{path}={json.dumps(values[0])}"]
+        report.write_text(page(done, wanted, policy, seed, shlex.join(again)), encoding="utf-8")
+    if form == "json":
+        click.echo(json.dumps({"digest": done.digest, **done.result}, sort_keys=True))
+    else:
+        table = Table(title=f"{wanted.name}, {policy}, seed {seed}")
+        table.add_column("figure")
+        table.add_column("value", justify="right")
+        for name, value in done.result.items():
+            if not isinstance(value, dict):
+                table.add_row(name, f"{value:.4g}" if isinstance(value, float) else str(value))
+        for rule, count in done.result["breaches"].items():
+            table.add_row(f"breaches: {rule}", str(count))
+        table.add_row("trace", done.digest)
+        Console().print(table)
+        for breach in done.judge.breaches[:10]:
+            click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}", err=True)
+    sys.exit(1 if sum(done.result["breaches"].values()) else 0)
+
+
+@command.command("judge", epilog="Example: rosechute lab judge run.trace --scenario overload")
+@click.argument("trace", type=click.Path(path_type=Path, dir_okay=False, exists=True))
+@click.option("--scenario", required=True, help="The scenario that the trace is of.")
+@changes
+def judge(trace: Path, scenario: str, changes: dict[str, list[Any]]) -> None:
+    """Judge a trace again, from its file alone. Exit code 0 where all rules were kept, else 1."""
+    found = Judge(_load(scenario, changes))
+    try:
+        with trace.open("rb") as file:
+            for record in read_trace(file):
+                found(record)
+    except ValueError as error:
+        raise click.ClickException(f"{trace}: {error}") from None
+    found.finish()
+    for breach in found.breaches:
+        click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}")
+    click.echo(", ".join(f"{rule} {count}" for rule, count in found.counts.items()))
+    sys.exit(1 if sum(found.counts.values()) else 0)
+
+
+@command.command("sweep", epilog="Example: rosechute lab sweep calm --policy module --set fleet.servers=5,10,20")
+@click.argument("scenarios", nargs=-1)
+@click.option("--policy", "policies", type=click.Choice([*NAMES, "all"]), multiple=True, default=("module",))
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=20, show_default=True, help="How many, from 1 on.")
+@click.option("--workers", type=click.IntRange(1, 512), help="Processes; one for each core where left out.")
+@stored()
+@changes
+def sweeping(scenarios: tuple[str, ...], policies: tuple[str, ...], seeds: int, workers: int | None, store: Path,
+             changes: dict[str, list[Any]]) -> None:
+    """Play SCENARIOS (all that come with the lab where none is named) for each policy, seed and combination of
+    values. Stopped or killed, it goes on where it was when called again."""
+    chosen = list(NAMES) if "all" in policies else list(dict.fromkeys(policies))
+    kept = _open(store)
+    try:
+        wanted = tasks(scenarios or names(), chosen, range(1, seeds + 1), changes, program())
+    except FileError as error:
+        raise click.ClickException("\n".join(map(str, error.problems))) from None
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    try:
+        with Progress(*columns, console=Console(stderr=True)) as progress:
+            bar = progress.add_task("runs", total=len(wanted))
+            done = sweep(kept, wanted, workers or os.cpu_count() or 1, lambda _: progress.advance(bar))
+    except KeyboardInterrupt:
+        raise click.ClickException("stopped; call it again to go on") from None
+    finally:
+        kept.close()
+    click.echo(f"{done} runs done, {len(wanted) - done} were there already; in {store}")
+
+
+def _open(path: Path) -> Store:
+    try:
+        return Store(path)
+    except sqlite3.DatabaseError as error:
+        raise click.ClickException(f"{path} is no store of the lab: {error}") from None
+
+
+def _figure(row: Row, figure: str) -> float:
+    if figure == "breaches":
+        return float(sum(row.result["breaches"].values()))
+    if figure not in row.result or isinstance(row.result[figure], dict):
+        known = ", ".join(name for name, value in row.result.items() if not isinstance(value, dict))
+        raise click.BadParameter(f"there is no figure {figure!r}; known: {known}, breaches")
+    return float(row.result[figure])
+
+
+@command.command("compare", epilog="Example: rosechute lab compare module two-choices --figure p99_ms")
+@click.argument("first")
+@click.argument("second")
+@click.option("--figure", default="goodput", show_default=True)
+@click.option("--format", "form", type=click.Choice(["text", "markdown"]), default="text", show_default=True)
+@click.option("--any-program", is_flag=True, help="Take runs of other sources, too.")
+@stored(required=True)
+def compare(first: str, second: str, figure: str, form: str, any_program: bool, store: Path) -> None:
+    """Whether policy FIRST is better than SECOND, worse, or cannot be told, for each scenario, from runs of the same
+    seeds. `SECOND` may be `all`."""
+    kept = _open(store)
+    made_by = None if any_program else program()
+    values: dict[tuple[str, str], dict[str, dict[int, float]]] = defaultdict(lambda: defaultdict(dict))
+    for row in kept.rows(made_by=made_by):
+        values[row.scenario, row.changes][row.policy][row.seed] = _figure(row, figure)
+    more = not any(figure.endswith(end) for end in LESS_IS_BETTER)
+    rows: list[list[str]] = []
+    for (scenario, change), by_policy in values.items():
+        for other in sorted(by_policy) if second == "all" else [second]:
+            seeds = sorted(by_policy.get(first, {}).keys() & by_policy.get(other, {}).keys())
+            if not seeds or other == first:
+                continue
+            said, found = verdict([by_policy[first][s] - by_policy[other][s] for s in seeds], more)
+            own = interval([by_policy[first][s] for s in seeds])
+            its = interval([by_policy[other][s] for s in seeds])
+            rows.append([scenario + (f" {change}" if change != "{}" else ""), other, f"{own.mean:.4g}",
+                         f"{its.mean:.4g}", f"{found.mean:+.4g} [{found.low:+.4g}, {found.high:+.4g}]",
+                         str(found.size), said])
+    if not rows:
+        raise click.ClickException(f"there are no runs of {first} and {second} with the same seeds by this program")
+    _print(["scenario", "against", first, "the other", f"{figure}, difference and 95% interval", "pairs",
+            f"{first} is"], rows, form)
+
+
+def _print(head: list[str], rows: list[list[str]], form: str) -> None:
+    if form == "markdown":
+        click.echo("| " + " | ".join(head) + " |")
+        click.echo("|" + " --- |" * len(head))
+        for row in rows:
+            click.echo("| " + " | ".join(row) + " |")
+        return
+    table = Table()
+    for name in head:
+        table.add_column(name)
+    for row in rows:
+        table.add_row(*row)
+    Console().print(table)
+
+
+@command.command("ls", epilog="Example: rosechute lab ls --store lab.sqlite")
+@stored()
+def listing(store: Path) -> None:
+    """The scenarios that come with the lab and, where there is a store, how many runs it has of each."""
+    counts: dict[str, int] = defaultdict(int)
+    if store.exists():
+        kept = _open(store)
+        for row in kept.rows():
+            counts[row.scenario] += 1
+    _print(["scenario", "runs", "about"],
+           [[name, str(counts.pop(name, 0)), load(name).about] for name in names()]
+           + [[name, str(count), ""] for name, count in counts.items()], "text")
+
+
+@command.command("show", epilog="Example: rosechute lab show calm --figure p99_ms")
+@click.argument("scenario")
+@click.option("--figure", default="goodput", show_default=True)
+@click.option("--format", "form", type=click.Choice(["text", "markdown"]), default="text", show_default=True)
+@stored(required=True)
+def show(scenario: str, figure: str, form: str, store: Path) -> None:
+    """A figure of all stored runs of SCENARIO, by policy: mean and 95% interval."""
+    kept = _open(store)
+    values: dict[tuple[str, str, str], list[float]] = defaultdict(list)
+    for row in kept.rows(scenario):
+        values[row.changes, row.policy, row.program].append(_figure(row, figure))
+    if not values:
+        raise click.ClickException(f"there are no runs of {scenario!r} in {store}")
+    rows = []
+    for (change, policy, made_by), sample in values.items():
+        found = interval(sample)
+        rows.append([policy, change, made_by, f"{found.mean:.4g}", f"[{found.low:.4g}, {found.high:.4g}]",
+                     str(found.size)])
+    _print(["policy", "changes", "program", figure, "95% interval", "runs"], rows, form)
+
+
+@command.command("export", epilog="Example: rosechute lab export runs.csv --scenario calm")
+@click.argument("target", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--scenario", help="Only this one's runs.")
+@stored(required=True)
+def export(target: Path, scenario: str | None, store: Path) -> None:
+    """Write the stored runs to TARGET as CSV, one line a run."""
+    kept = _open(store)
+    count = 0
+    with target.open("w", newline="", encoding="utf-8") as file:
+        writer: Any = None
+        for row in kept.rows(scenario):
+            flat = {"scenario": row.scenario, "changes": row.changes, "policy": row.policy, "seed": row.seed,
+                    "program": row.program, "digest": row.digest, "took_s": row.took_s}
+            flat |= {name: value for name, value in row.result.items() if not isinstance(value, dict)}
+            flat |= {f"breaches_{rule}": value for rule, value in row.result["breaches"].items()}
+            if writer is None:
+                writer = csv.DictWriter(file, list(flat))
+                writer.writeheader()
+            writer.writerow(flat)
+            count += 1
+    click.echo(f"{count} runs in {target}")
--- a/rosechute/command/main.py
+++ b/rosechute/command/main.py
@@ -14,8 +14,10 @@
     "explain": ("rosechute.command.explain", "Say which route a request takes, and why."),
     "run": ("rosechute.command.run", "Run a sidecar."),
     "demo": ("rosechute.command.demo", "Watch a sidecar decide while servers turn slow, drain and start cold."),
+    "lab": ("rosechute.command.lab", "Measure policies in a simulated fleet, with faults."),
     "completion": ("rosechute.command.completion", "Print a shell's completion script."),
 }
+EXTRAS = {"demo": "demo", "lab": "lab"}  # what a command needs besides the extra `tool`
 
 
 class Lazy(click.Group):
@@ -27,11 +29,14 @@
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         if name not in COMMANDS:
             return None
+        if name == "lab":
+            from hollyport import native
+            native.prefer()
         try:
             found: Any = importlib.import_module(COMMANDS[name][0]).command
         except ImportError as error:
             raise click.ClickException(f"{name} needs {error.name}, which is not installed; it comes with "
-                                       f"pip install 'rosechute[{'demo' if name == 'demo' else 'tool'}]'") from None
+                                       f"pip install 'rosechute[{EXTRAS.get(name, 'tool')}]'") from None
         assert isinstance(found, click.Command)
         return found
 
--- a/rosechute/lab/clients.py
+++ b/rosechute/lab/clients.py
@@ -55,13 +55,13 @@
 
     def changed(self) -> None:
         """Factors have changed."""
-        load = math.prod(self.loads.values())
+        load = math.prod(self.loads.values(), start=1.0)
         shares = list(self._spec.tenants)
         for tenant, factor in self.bursts.values():
             if tenant < len(shares):
                 shares[tenant] *= factor
         self._tenants = _sums(shares)
-        self._factor = load * sum(shares) / sum(self._spec.tenants)
+        self._factor = load * sum(shares, 0.0) / sum(self._spec.tenants, 0.0)
         self._top = self._factor * {"flat": 1.0, "burst": 1.0 + 9.0 * self._spec.depth}.get(
             self._spec.shape, 1.0 + self._spec.depth)
 
@@ -122,7 +122,7 @@
 
 
 def _sums(shares: Sequence[float]) -> list[float]:
-    total = sum(shares)
+    total = sum(shares, 0.0)
     return list(accumulate(share / total for share in shares))
 
 
--- a/rosechute/lab/judge.py
+++ b/rosechute/lab/judge.py
@@ -246,8 +246,8 @@
         if age < fleet.fall or (server, began) in self._judged:
             return
         bears = fleet.fall_multiple * capacity * (cold_from + (1.0 - cold_from) * age / fleet.cold) * fleet.fall
-        total = sum(w for _, w, _ in arrived)
-        if total > bears and sum(w for _, w, told in arrived if told) >= total * 2 / 3:
+        total = sum((w for _, w, _ in arrived), 0.0)
+        if total > bears and sum((w for _, w, told in arrived if told), 0.0) >= total * 2 / 3:
             self._judged.add((server, began))
             self._breach("cold", f"server {server}, up since {began}, was sent {total / bears:.2f} of what it bears")
 
--- a/rosechute/lab/reading.py
+++ b/rosechute/lab/reading.py
@@ -18,6 +18,12 @@
         raw: dict[str, Any] = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise FileError([Problem("", None, f"it is not TOML: {error}")]) from None
+    return structure(raw, places(text))
+
+
+def structure(raw: dict[str, Any], lines: dict[str, int] | None = None) -> Scenario:
+    """A scenario from its tables; `lines` tells on which line each key stands. Raises as `read` does."""
+    raw = dict(raw)
     reader = Reader()
     if raw.pop("version", None) != 1:
         reader.wrong("version", None, "it is missing or another; this program reads version = 1")
@@ -34,8 +40,7 @@
         check(scenario, reader)
         if not reader.problems:
             return scenario
-    lines = places(text)
-    raise FileError(p._replace(path=p.path.lstrip("."), line=line_of(p.path.lstrip("."), lines))
+    raise FileError(p._replace(path=p.path.lstrip("."), line=line_of(p.path.lstrip("."), lines or {}))
                     for p in reader.problems)
 
 
--- /dev/null
+++ b/rosechute/lab/report.py
@@ -0,0 +1,154 @@
+"""A run as one HTML file that needs nothing else: plots as SVG, tables, the judge's verdict, how to play it again."""
+
+from __future__ import annotations
+
+import html
+import io
+from collections.abc import Iterator
+from typing import Any
+
+import matplotlib
+import numpy as np
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from rosechute.file.units import shown
+from rosechute.lab.figures import BIN_NS
+from rosechute.lab.judge import RULES
+from rosechute.lab.run import Run
+from rosechute.lab.spec import Scenario
+
+matplotlib.rcParams.update({"svg.hashsalt": "rosechute", "svg.fonttype": "none", "font.size": 9,
+                            "axes.spines.top": False, "axes.spines.right": False})
+COLOURS = {"served": "#3b7a57", "late": "#d9a441", "refused": "#7d8aa5", "failed": "#b3433b"}
+STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:60rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:.6rem 0}td,th{padding:.2rem .7rem;border-bottom:1px solid #ddd;text-align:right}
+td:first-child,th:first-child{text-align:left}.good{color:#2c6b45}.bad{color:#a3322a;font-weight:600}
+svg{width:100%;height:auto}code{background:#f2f2ef;padding:.15rem .35rem;border-radius:3px}h2{margin-top:2rem}"""
+
+
+def spans(run: Run, end_ns: int) -> list[tuple[float, float, str]]:
+    """When faults were in force: from, to (seconds) and their kind."""
+    found: list[tuple[float, float, str]] = []
+    since: dict[int, int] = {}
+    kinds: dict[int, str] = {}
+    for at, fault, kind, level in run.figures.levels:
+        kinds[fault] = kind
+        if level:
+            since.setdefault(fault, at)
+        elif fault in since:
+            found.append((since.pop(fault) / 1e9, at / 1e9, kind))
+    return found + [(at / 1e9, end_ns / 1e9, kinds[fault]) for fault, at in since.items()]
+
+
+def _drawn(figure: Figure) -> str:
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg"):]
+
+
+def _shade(axes: Axes, shades: list[tuple[float, float, str]]) -> None:
+    told: set[str] = set()
+    for start, end, kind in shades:
+        axes.axvspan(start, end, color="#b3433b", alpha=0.10, lw=0)
+        if kind not in told:
+            axes.text(start, 1.01, kind, transform=axes.get_xaxis_transform(), fontsize=8, color="#8a3a33")
+            told.add(kind)
+
+
+def timeline(run: Run, scenario: Scenario) -> str:
+    """Service over time, and what servers and instances held."""
+    figure = Figure(figsize=(9, 5), layout="constrained")
+    top, below = figure.subplots(2, 1, sharex=True)
+    lines = run.figures.lines()
+    count = int(scenario.duration // BIN_NS)
+    at = np.arange(count) * BIN_NS / 1e9
+    rates = [np.array(lines[name][:count]) * 1e9 / BIN_NS for name in COLOURS]
+    top.stackplot(at, rates, labels=list(COLOURS), colors=list(COLOURS.values()), lw=0)
+    top.set_ylabel("requests ended a second")
+    top.legend(loc="lower left", ncols=4, frameon=False)
+    gauges = np.array(run.figures.gauges or [(0, 0, 0, 0)], dtype=float)
+    below.plot(gauges[:, 0] / 1e9, gauges[:, 1], color="#34526f", label="held by servers")
+    below.plot(gauges[:, 0] / 1e9, gauges[:, 2], color="#c07a2c", label="open at instances")
+    below.set_ylabel("requests")
+    below.set_xlabel("seconds")
+    below.legend(loc="upper left", frameon=False)
+    shades = spans(run, int(scenario.duration))
+    for axes in (top, below):
+        _shade(axes, shades)
+        axes.set_xlim(0, scenario.duration / 1e9)
+        axes.set_ylim(bottom=0)
+    return _drawn(figure)
+
+
+def latencies(run: Run) -> str:
+    """Time to the answer against the share that took longer, both on log scales."""
+    figure = Figure(figsize=(9, 3), layout="constrained")
+    axes = figure.subplots()
+    histogram = run.figures.histogram()
+    if histogram.get_total_count():
+        shares = np.logspace(0, -4, 60)
+        axes.plot([histogram.get_value_at_percentile(100 * (1 - share)) / 1000 for share in shares], shares,
+                  color="#34526f")
+    axes.set_xscale("log")
+    axes.set_yscale("log")
+    axes.set_xlabel("milliseconds to the answer")
+    axes.set_ylabel("share that took longer")
+    axes.grid(alpha=0.3, which="both", lw=0.4)
+    return _drawn(figure)
+
+
+def heat(run: Run, scenario: Scenario) -> str:
+    """Attempts by server and time."""
+    figure = Figure(figsize=(9, min(6.0, 1.2 + 0.16 * scenario.fleet.servers)), layout="constrained")
+    axes = figure.subplots()
+    cells = run.figures.heat()[:, : int(scenario.duration // BIN_NS)]
+    shown_cells = axes.imshow(cells * 1e9 / BIN_NS, aspect="auto", cmap="cividis", interpolation="nearest",
+                              extent=(0, scenario.duration / 1e9, cells.shape[0] - 0.5, -0.5))
+    figure.colorbar(shown_cells, ax=axes, label="attempts a second")
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("server")
+    for start, end, _ in spans(run, int(scenario.duration)):
+        for at in (start, end):
+            axes.axvline(at, color="white", lw=0.6, ls=":")
+    return _drawn(figure)
+
+
+def _table(head: list[str], rows: list[list[Any]]) -> str:
+    cells = "".join(f"<tr>{''.join(f'<td>{html.escape(_said(v))}</td>' for v in row)}</tr>" for row in rows)
+    return f"<table><tr>{''.join(f'<th>{html.escape(name)}</th>' for name in head)}</tr>{cells}</table>"
+
+
+def _said(value: Any) -> str:
+    return f"{value:.4g}" if isinstance(value, float) else str(value)
+
+
+def _parts(run: Run, scenario: Scenario, policy: str, seed: int, command: str) -> Iterator[str]:
+    result = run.result
+    total = sum(result["breaches"].values())
+    yield f"<h1>{html.escape(scenario.name)}</h1><p>{html.escape(scenario.about)}</p>"
+    yield f"<p>Policy <b>{html.escape(policy)}</b>, seed {seed}, {shown(scenario.duration)}, "
+    yield f"{scenario.instances.count} instances, {scenario.fleet.servers} servers.</p>"
+    word = "All rules were kept." if not total else f"{total} breaches of the rules."
+    yield f'<p class="{"bad" if total else "good"}">{word}</p>'
+    yield _table(["rule", "breaches"], [[rule, result["breaches"][rule]] for rule in RULES])
+    for breach in run.judge.breaches[:20]:
+        yield f"<p>{breach.at_ns / 1e9:.3f} s, {breach.rule}: {html.escape(breach.text)}</p>"
+    names = ("goodput", "wanted", "requests", "attempts_a_request", "served", "late", "refused", "failed", "lost",
+             "p50_ms", "p90_ms", "p99_ms", "p99.9_ms")
+    yield "<h2>Figures</h2>" + _table(["figure", "value"], [[name, result[name]] for name in names])
+    yield "<h2>Service over time</h2><p>Shaded: faults in force.</p>" + timeline(run, scenario)
+    yield "<h2>Time to the answer</h2>" + latencies(run)
+    yield "<h2>Attempts by server</h2>" + heat(run, scenario)
+    kinds = list(next(iter(result["classes"].values())))
+    yield "<h2>By class</h2>" + _table(["class", *kinds], [[name, *row.values()]
+                                                            for name, row in result["classes"].items()])
+    yield "<h2>By tenant</h2>" + _table(["tenant", "goodput"], [list(pair) for pair in result["tenants"].items()])
+    yield f"<h2>Play it again</h2><p><code>{html.escape(command)}</code></p><p>Trace {run.digest}.</p>"
+
+
+def page(run: Run, scenario: Scenario, policy: str, seed: int, command: str) -> str:
+    """The whole report."""
+    return (f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(scenario.name)}</title>'
+            f"<style>{STYLE}</style>{''.join(_parts(run, scenario, policy, seed, command))}</html>\n")
--- a/rosechute/lab/rivals.py
+++ b/rosechute/lab/rivals.py
@@ -305,7 +305,11 @@
     """Asynchronous probes fill a pool; hot are those that hold more than the pool's quantile `HOT`. Where no probes
     are allowed, the reports of answers stand in for them."""
 
-    PROBES, POOL, HOT, AGE_NS, USES = 3, 16, 0.84, SECOND, 2
+    PROBES = 3  # sent with each request
+    POOL = 16
+    HOT = 0.84
+    AGE_NS = SECOND
+    USES = 2
 
     def __init__(self, place: Place) -> None:
         super().__init__(place)
@@ -351,7 +355,8 @@
     """gRFC A105, plain: picks in turn; a server's connections take `STREAMS` requests each, and when all are full one
     more is added after a connection's time, up to `MOST`; a request that finds all full everywhere waits in order."""
 
-    STREAMS, MOST = 2, 10
+    STREAMS = 2
+    MOST = 10
 
     def __init__(self, place: Place) -> None:
         super().__init__(place)
--- a/rosechute/lab/server.py
+++ b/rosechute/lab/server.py
@@ -105,7 +105,8 @@
         capacity = self.capacity()
         if not self.up or self.draining or capacity <= 0:
             return float("inf")
-        ahead = sum(end - self._virtual for end, _, _ in self._running) + sum(j.work for j in self._waiting)
+        ahead = sum((end - self._virtual for end, _, _ in self._running), 0.0)
+        ahead += sum((job.work for job in self._waiting), 0.0)
         return work / (capacity / self.spec.cores) + max(0.0, self.held + 1 - self.spec.cores) * (
             (ahead + work) / (self.held + 1)) / capacity
 
@@ -159,6 +160,8 @@
         else:
             job.waits = True
             self._waiting.append(job)
+            if self.spec.crowding:
+                self.changed()
         return True
 
     def withdraw(self, job: Job) -> bool:
@@ -169,6 +172,8 @@
         job.waits = False
         self._waiting.remove(job)
         job.over = True
+        if self.spec.crowding:
+            self.changed()
         return True
 
     def _overrun(self, work: float) -> bool:
--- a/rosechute/lab/spec.py
+++ b/rosechute/lab/spec.py
@@ -35,7 +35,7 @@
     window: Span = Span(5 * SECOND_NS)  # how long a guarded request's key is known to the servers
     worth: Positive = 1.0
     late_worth: Share = 0.0  # what an answer between aim and deadline is worth, of that
-    work: Span = Span(10 * MS)  # mean, on one core at speed 1
+    work: Span = Span(20 * MS)  # mean, on one core at speed 1
     spread: Literal["exponential", "fixed", "lognormal"] = "exponential"
     sigma: Positive = 1.0  # of the logarithm, where lognormal
 
--- a/setup.py
+++ b/setup.py
@@ -1,5 +1,7 @@
 """The build, which can compile the modules that each request passes through: ROSECHUTE_COMPILE=1.
 
+ROSECHUTE_COMPILE=lab compiles the lab's model as well, which then plays about twice as fast.
+
 Everything else about the project is in pyproject.toml. Compiled by mypyc from the same sources, types and all;
 without the variable nothing is compiled, and the program is the same.
 """
@@ -17,15 +19,18 @@
     ["hollyport/http1/message.py", "hollyport/http1/connection.py", "hollyport/http1/client.py",
      "hollyport/core/ports.py"],
 ]
+LAB = [f"rosechute/lab/{name}.py" for name in (
+    "draw", "engine", "server", "network", "listing", "trace", "judge", "instance", "clients", "figures", "rivals")]
 
 extensions = []
-if os.environ.get("ROSECHUTE_COMPILE") == "1":
+asked = os.environ.get("ROSECHUTE_COMPILE")
+if asked in ("1", "lab"):
     try:
         from mypyc.build import mypycify
     except ImportError:
         sys.exit("ROSECHUTE_COMPILE=1 needs mypy: pip install -r requirements-build.txt -r requirements.txt, "
                  "then pip install --no-build-isolation .")
-    for group in GROUPS:
+    for group in GROUPS + ([LAB] if asked == "lab" else []):
         extensions += mypycify(group, opt_level="3", debug_level="0", target_dir=".compiled.objects")
 
 setup(ext_modules=extensions)
--- /dev/null
+++ b/tests/test_lab_model.py
@@ -0,0 +1,195 @@
+"""The model: servers against arithmetic, streams apart from each other, and the same trace from the same seed."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+
+from hollyport import native
+from rosechute.file.units import Span
+from rosechute.lab.draw import Streams, Zipf
+from rosechute.lab.engine import Engine
+from rosechute.lab.library import load, names
+from rosechute.lab.network import FROM, TO, Paths
+from rosechute.lab.rivals import NAMES
+from rosechute.lab.run import run
+from rosechute.lab.server import Job, Server
+from rosechute.lab.spec import Class, Clients, Fault, Fleet, Instances, Network, Scenario
+
+MS = 1_000_000
+
+
+def server(**spec):
+    engine = Engine()
+    ended, fell = [], []
+    made = Server(engine, Fleet(**{"cores": 1, "slots": 1, "room": 2, **spec}), 0, 0, lambda *_: None, fell.append)
+
+    def send(rid, work, key=-1):
+        job = Job(rid, 0, 0, key, work, 0, None, lambda job, ran: ended.append((job.rid, engine.now // MS, ran)))
+        return job, made.arrive(job)
+
+    return engine, made, send, ended, fell
+
+
+def test_first_come_first_served_with_a_room_that_fills():
+    engine, made, send, ended, _ = server()
+    assert [send(n, 10.0 * MS)[1] for n in range(4)] == [True, True, True, False]
+    engine.run(100 * MS)
+    assert ended == [(0, 10, True), (1, 20, True), (2, 30, True)]
+    assert made.held == 0
+
+
+def test_slots_share_the_cores():
+    engine, _, send, ended, _ = server(slots=2)
+    send(1, 10.0 * MS)
+    engine.run(5 * MS)
+    send(2, 10.0 * MS)
+    engine.run(100 * MS)
+    assert ended == [(1, 15, True), (2, 20, True)]
+
+
+def test_speed_changes_count_from_when_they_come():
+    engine, made, send, ended, _ = server()
+    send(1, 10.0 * MS)
+    engine.run(5 * MS)
+    made.changed()
+    made.hung.add(1)
+    made.changed()
+    engine.run(50 * MS)
+    made.changed()
+    made.hung.clear()
+    made.speeds[1] = 0.5
+    made.changed()
+    engine.run(100 * MS)
+    assert ended == [(1, 60, True)]
+
+
+def test_what_waits_can_be_withdrawn_and_what_runs_goes_on():
+    engine, made, send, ended, _ = server()
+    (running, _), (waiting, _) = send(1, 10.0 * MS), send(2, 10.0 * MS)
+    send(3, 10.0 * MS)
+    assert not made.withdraw(running)
+    assert made.withdraw(waiting)
+    engine.run(100 * MS)
+    assert ended == [(1, 10, True), (3, 20, True)]
+
+
+def test_a_process_that_dies_takes_all_with_it_and_the_next_is_cold():
+    engine, made, send, ended, _ = server(cold_from=0.5, cold=Span(1000 * MS))
+    send(1, 10.0 * MS)
+    send(2, 10.0 * MS)
+    engine.run(5 * MS)
+    made.stop()
+    assert ended == [(1, 5, False), (2, 5, False)]
+    made.start()
+    send(3, 10.0 * MS)
+    engine.run(200 * MS)
+    assert ended[2][1] - 5 in range(18, 21)  # half the speed, growing
+
+
+def test_a_cold_server_falls_over_when_it_is_sent_too_much():
+    engine, made, send, _, fell = server(cold_from=0.1, cold=Span(1000 * MS), fall=Span(100 * MS), room=1000)
+    engine.run(1)
+    made.start()
+    for n in range(200):
+        engine.run(engine.now + MS)
+        send(n, 1.0 * MS)
+    assert fell and fell[0] is made
+
+
+def test_keys_that_were_seen_cost_less_until_others_push_them_out():
+    engine, _, send, ended, _ = server(cache=1, cache_factor=0.5)
+    for n, key in enumerate((7, 7, 8, 7)):
+        send(n, 10.0 * MS, key)
+        engine.run(engine.now + 50 * MS)
+    assert [at % 50 for _, at, _ in ended] == [10, 5, 10, 10]
+
+
+def test_crowding_costs_efficiency():
+    engine, _, send, ended, _ = server(slots=1, room=1, crowding=1.0)
+    send(1, 10.0 * MS)
+    send(2, 10.0 * MS)
+    engine.run(100 * MS)
+    assert ended == [(1, 20, True), (2, 30, True)]  # at half the speed while one waits
+
+
+def test_paths_can_be_cut_one_way_and_lose_messages():
+    paths = Paths(Network(jitter=0.0), Streams(1).of("n"))
+    assert paths.delay(0, 0, TO, True) == MS // 4
+    paths.cuts[1] = (frozenset({0}), frozenset({0}), FROM)
+    assert paths.delay(0, 0, FROM, True) is None
+    assert paths.delay(0, 0, TO, True) is not None
+    assert paths.delay(1, 0, FROM, True) is not None
+    paths.losses[2] = 0.5
+    again = sum(paths.delay(1, 1, TO, True) > 200 * MS for _ in range(2000))
+    assert 900 < again < 1100
+
+
+def test_a_stream_is_its_own_whatever_others_draw():
+    one, other = Streams(5), Streams(5)
+    other.of("more").uniform()
+    other.of("a").normal()
+    assert [one.of("a").uniform() for _ in range(3000)] == [other.of("a").uniform() for _ in range(3000)]
+    assert one.of("a").uniform() != one.of("b").uniform()
+
+
+def test_zipf_keys_come_as_often_as_the_law_has_it():
+    zipf, stream = Zipf(10, 1.0), Streams(1).of("k")
+    drawn = [zipf.draw(stream) for _ in range(20_000)]
+    total = sum(1 / n for n in range(1, 11))
+    for key in (0, 4, 9):
+        assert drawn.count(key) / 20_000 == pytest.approx(1 / (key + 1) / total, rel=0.1)
+
+
+SHORT = Scenario(
+    "short", "all at once", duration=Span(4000 * MS), clients=Clients(rate=300.0, retries=1, tenants=(2.0, 1.0)),
+    fleet=Fleet(servers=6, zones=2, connections=40, handshake=Span(MS), reports="some", cold=Span(1000 * MS)),
+    instances=Instances(count=3, second_copies=True),
+    classes=(Class("a"), Class("b", repeat="guarded", group="zone"), Class("c", repeat="single_shot")),
+    faults=(Fault("crash-loop", at=Span(500 * MS), lasts=Span(2000 * MS), servers=(1,), pause=Span(300 * MS)),
+            Fault("partition", at=Span(1000 * MS), lasts=Span(500 * MS), servers=(2,)),
+            Fault("mass-restart", at=Span(2500 * MS), share=0.4), Fault("loss", at=Span(MS), share=0.02),
+            Fault("rolling-deploy", at=Span(1500 * MS), lasts=Span(1500 * MS), share=0.5, pause=Span(300 * MS))))
+
+
+@pytest.mark.parametrize("policy", NAMES)
+def test_nothing_is_lost_and_repeats_and_drains_keep_to_the_rules(policy):
+    done = run(SHORT, policy, 3)
+    broken = {rule: n for rule, n in done.result["breaches"].items() if n and rule != "cold"}
+    assert not broken, done.judge.breaches
+    assert done.result["served"] > 0.5
+    shares = ("served", "refused", "failed", "unanswered", "lost")
+    assert sum(done.result[name] for name in shares) == pytest.approx(1.0)
+
+
+CODE = """import json, sys
+from hollyport import native
+if sys.argv[1] == "compiled":
+    native.prefer()
+from rosechute.lab.library import load
+from rosechute.lab.run import run
+out = []
+for name, policy in (("overload", "module"), ("crash-loop", "prequal"), ("mass-restart", "module")):
+    scenario = load(name, {"duration": "6s", "warmup": "1s", "fault[0].at": "1500ms"})
+    out.append(run(scenario, policy, 4).digest)
+print(json.dumps(out))"""
+
+
+def test_the_same_seed_gives_the_same_trace_in_every_process_and_compiled_too():
+    found = []
+    for hashing, how in (("1", "plain"), ("2", "plain"), ("3", "compiled")):
+        env = {**os.environ, "PYTHONHASHSEED": hashing, "PYTHONPATH": native.ROOT}
+        done = subprocess.run([sys.executable, "-c", CODE, how], env=env, capture_output=True, text=True, check=True)
+        found.append(json.loads(done.stdout))
+    assert found[0] == found[1] == found[2]
+    assert len(set(found[0])) == 3
+
+
+def test_every_scenario_of_the_library_is_sound_and_tells_what_it_is_for():
+    assert len(names()) >= 15
+    for name in names():
+        scenario = load(name)
+        assert scenario.name == name
+        assert len(scenario.about) > 40
