--- a/rosechute/command/lab.py
+++ b/rosechute/command/lab.py
@@ -293,3 +293,37 @@
             writer.writerow(flat)
             count += 1
     click.echo(f"{count} runs in {target}")
+
+
+@command.command("load", epilog="Example: rosechute lab load http://127.0.0.1:8080/list-rooms --rate 500")
+@click.argument("url")
+@click.option("--rate", type=click.FloatRange(0, min_open=True), required=True, help="Requests a second, on average.")
+@click.option("--duration", default="10s", show_default=True, help="How long it sends; up to 10m.")
+@click.option("--shape", type=click.Choice(["flat", "daily", "burst", "square", "ramp"]), default="flat",
+              show_default=True)
+@click.option("--depth", type=click.FloatRange(0, 1), default=0.5, show_default=True,
+              help="How far the shape departs from the mean, as a part of it.")
+@click.option("--period", default="10s", show_default=True, help="Of the shape.")
+@click.option("--method", type=click.Choice(["GET", "POST"]), default="GET", show_default=True)
+@click.option("--header", "headers", multiple=True, metavar="NAME: VALUE")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+def loading(url: str, rate: float, duration: str, shape: str, depth: float, period: str, method: str,
+            headers: tuple[str, ...], seed: int) -> None:
+    """Send an open-loop load to URL, which must be an address of this machine's loopback. Each request's time counts
+    from when it was due. Exit code 1 where any was not answered."""
+    import uvloop
+
+    from rosechute.file.units import span
+    from rosechute.lab.load import due, load, target
+    try:
+        to = target(url)
+        times = due(rate, span(duration) / 1e9, shape, depth, span(period) / 1e9, seed)
+    except ValueError as error:
+        raise click.ClickException(str(error)) from None
+    for header in headers:
+        name, sep, _ = header.partition(":")
+        if not sep or not name or not header.isprintable():
+            raise click.BadParameter(f"{header!r} is not NAME: VALUE", param_hint="--header")
+    found = uvloop.run(load(to, times, method, list(headers)))
+    _print(["figure", "value"], [list(line) for line in found.lines()], "text")
+    sys.exit(1 if found.unanswered or found.not_sent else 0)
--- a/rosechute/lab/faults.py
+++ b/rosechute/lab/faults.py
@@ -69,7 +69,8 @@
 
     def _change(self, change: Change) -> None:
         fault = self._faults[change.fault]
-        self._world.trace.add((self._world.engine.now, LEVEL, change.fault, fault.kind, change.level))
+        if change.level or fault.kind != "shared-slow":  # that one ends when it ends: see `_look`
+            self._world.trace.add((self._world.engine.now, LEVEL, change.fault, fault.kind, change.level))
         self._kinds[fault.kind](change.fault, fault, change.level)
 
     def _chosen(self, number: int, fault: Fault, level: float) -> list[int]:
@@ -156,7 +157,7 @@
         if level:
             if not self._shared:
                 self._world.engine.after(100_000_000, self._look)
-            self._shared[number] = level
+            self._shared[number] = max(level, self._shared.get(number, 0.0))  # it does not ebb by itself
             self._lasting.discard(number)
         elif number in self._shared:
             self._lasting.add(number)  # only less load ends it now: a metastable state
--- a/rosechute/lab/report.py
+++ b/rosechute/lab/report.py
@@ -67,7 +67,7 @@
     rates = [np.array(lines[name][:count]) * 1e9 / BIN_NS for name in COLOURS]
     top.stackplot(at, rates, labels=list(COLOURS), colors=list(COLOURS.values()), lw=0)
     top.set_ylabel("requests ended a second")
-    top.legend(loc="lower left", ncols=4, frameon=False)
+    top.legend(loc="lower right", bbox_to_anchor=(1.0, 1.0), ncols=4, frameon=False)
     gauges = np.array(run.figures.gauges or [(0, 0, 0, 0)], dtype=float)
     below.plot(gauges[:, 0] / 1e9, gauges[:, 1], color="#34526f", label="held by servers")
     below.plot(gauges[:, 0] / 1e9, gauges[:, 2], color="#c07a2c", label="open at instances")
--- /dev/null
+++ b/tests/test_lab_load.py
@@ -0,0 +1,72 @@
+"""The load generator: loopback only, due times fixed beforehand, and a stall that shows in all that fell into it."""
+
+import asyncio
+
+import pytest
+from click.testing import CliRunner
+
+from rosechute.command.main import main
+from rosechute.lab.load import Target, due, load, target
+from rosechute.standin.server import Conduct, StandInServer
+
+
+@pytest.mark.parametrize(("url", "word"), [
+    ("http://10.0.0.1:80/", "loopback"), ("http://example.org/", "not looked up"), ("https://127.0.0.1/", "http://"),
+    ("http://[2001:db8::1]/", "loopback"), ("127.0.0.1:80", "http://"), ("http://127.0.0.1:99999/", "no address"),
+])
+def test_nothing_but_loopback_is_ever_sent_to(url, word):
+    with pytest.raises(ValueError, match=word):
+        target(url)
+    done = CliRunner().invoke(main, ["lab", "load", url, "--rate", "1"])
+    assert done.exit_code == 1
+    assert word in done.output
+
+
+def test_targets_are_read():
+    assert target("http://localhost:81/a?b=c") == Target("127.0.0.1", 81, "/a?b=c")
+    assert target("http://[::1]:81") == Target("::1", 81, "/")
+
+
+def test_loads_are_bounded_and_follow_their_shape():
+    for rate, seconds in ((1e6, 1.0), (10.0, 1e4), (0.0, 1.0)):
+        with pytest.raises(ValueError, match="a load has up to"):
+            due(rate, seconds)
+    flat = due(2000.0, 10.0)
+    assert flat == due(2000.0, 10.0)
+    assert flat == sorted(flat)
+    assert len(flat) == pytest.approx(20_000, rel=0.03)
+    square = due(2000.0, 10.0, "square", 0.5)
+    assert sum(t >= 5.0 for t in square) / sum(t < 5.0 for t in square) == pytest.approx(3.0, rel=0.08)
+
+
+def test_a_stall_shows_in_every_request_that_was_due_in_it():
+    async def scene():
+        server = StandInServer("s", Conduct(slots=1, queue=10_000, service_s=0.0))
+        port = await server.start()
+        loop = asyncio.get_running_loop()
+
+        def stall(on):
+            server.conduct.service_s = 0.4 if on else 0.0
+
+        loop.call_later(0.3, stall, True)
+        loop.call_later(0.35, stall, False)
+        found = await load(Target("127.0.0.1", port, "/"), due(200.0, 1.0))
+        server.stop()
+        return found
+
+    found = asyncio.run(scene())
+    assert found.statuses[200] == found.asked == found.times.get_total_count()
+    assert found.times.get_value_at_percentile(90) > 100_000  # of 200 a second, some 40 and more fell into it
+    assert found.times.get_value_at_percentile(20) < 50_000
+
+
+def test_what_a_server_drops_is_counted():
+    async def scene():
+        server = StandInServer("s", Conduct(hang=True))
+        port = await server.start()
+        asyncio.get_running_loop().call_later(0.5, server.stop)
+        return await load(Target("127.0.0.1", port, "/"), due(50.0, 0.3), "POST")
+
+    found = asyncio.run(scene())
+    assert found.unanswered == found.asked > 5
+    assert dict(found.lines())["unanswered"] == str(found.asked)
