--- a/rosechute/command/lab.py
+++ b/rosechute/command/lab.py
@@ -272,6 +272,31 @@
     _print(["policy", "changes", "program", figure, "95% interval", "runs"], rows, form)
 
 
+@command.command("table", epilog="Example: rosechute lab table --figure goodput --format markdown")
+@click.option("--figure", default="goodput", show_default=True)
+@click.option("--format", "form", type=click.Choice(["text", "markdown"]), default="text", show_default=True)
+@click.option("--seeds", type=click.IntRange(1), help="Only the first so many seeds.")
+@click.option("--any-program", is_flag=True, help="Take runs of other sources, too.")
+@stored(required=True)
+def table(figure: str, form: str, seeds: int | None, any_program: bool, store: Path) -> None:
+    """A figure of all stored scenarios by all policies: mean, and half the width of its 95% interval."""
+    values: dict[tuple[str, str], dict[str, list[float]]] = defaultdict(lambda: defaultdict(list))
+    for row in _open(store).rows(made_by=None if any_program else program()):
+        if seeds is None or row.seed <= seeds:
+            values[row.scenario, row.changes][row.policy].append(_figure(row, figure))
+    if not values:
+        raise click.ClickException(f"there are no runs by this program in {store}")
+    policies = [name for name in NAMES if any(name in by_policy for by_policy in values.values())]
+    rows = []
+    for (scenario, change), by_policy in values.items():
+        cells = []
+        for policy in policies:
+            found = interval(by_policy[policy]) if by_policy.get(policy) else None
+            cells.append("" if found is None else f"{found.mean:.3f} ±{(found.high - found.low) / 2:.3f}")
+        rows.append([scenario + (f" {change}" if change != "{}" else ""), *cells])
+    _print(["scenario", *policies], rows, form)
+
+
 @command.command("export", epilog="Example: rosechute lab export runs.csv --scenario calm")
 @click.argument("target", type=click.Path(path_type=Path, dir_okay=False))
 @click.option("--scenario", help="Only this one's runs.")
--- a/rosechute/lab/load.py
+++ b/rosechute/lab/load.py
@@ -1,8 +1,9 @@
 """An open-loop load over HTTP/1.1, free of coordinated omission, for servers on this machine only.
 
 When each request is due is fixed before the first is sent, and its time is counted from then, whether or not there
-was a connection to send it on: a server that stands still for a second shows in all the requests of that second (Tene,
-"How not to measure latency", 2013). Where more are open than `MOST_OPEN`, what comes due is counted as not sent.
+was a connection to send it on: a server that stands still for a second shows in all the requests of that second
+(Tene, "How not to measure latency", 2013). Where more are open than `MOST_OPEN`, what comes due is counted as not
+sent.
 """
 
 from __future__ import annotations
--- a/tests/test_lab_files.py
+++ b/tests/test_lab_files.py
@@ -163,6 +163,9 @@
     assert "no runs of" in cli("compare", "random", "a105", "--store", store).output
     assert "no figure" in cli("compare", "random", "module", "--store", store, "--figure", "x").output
     assert "module" in cli("show", "calm", "--store", store).output
+    told = cli("table", "--store", store, "--format", "markdown", "--seeds", 4).output
+    assert "| scenario | module | random |" in told
+    assert "±" in told
     assert "12 runs" in cli("export", tmp_path / "o.csv", "--store", store).output
     assert len((tmp_path / "o.csv").read_text().splitlines()) == 13
     assert "no such scenario" in cli("run", "nothing").output
