--- a/hollyport/native.py
+++ b/hollyport/native.py
@@ -62,16 +62,18 @@
 
 
 def prefer(env: Mapping[str, str] = os.environ) -> bool:
-    """Have modules come from their libraries from now on; whether there are any.
+    """Have modules come from their libraries from now on; whether they do.
 
-    Modules that are already loaded stay as they are, so this goes before any import of theirs.
+    This goes before any import of theirs: where one of them is loaded already, all come from their sources, as a
+    compiled module does not take another's classes from both.
     """
     if any(isinstance(finder, Libraries) for finder in sys.meta_path):
         return True
     files = {} if env.get(OFF) == "1" else found()
-    if files:
+    if files and files.keys().isdisjoint(sys.modules):
         sys.meta_path.insert(0, Libraries(files))
-    return bool(files)
+        return True
+    return False
 
 
 def in_force() -> bool:
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -56,3 +56,11 @@
     done = subprocess.run([sys.executable, "-c", code], env={native.OFF: "1"}, capture_output=True, text=True,
                           cwd=native.ROOT, check=True)
     assert done.stdout == "False\n"
+
+
+def test_nothing_is_mixed_where_a_module_is_loaded_from_its_source_already(root, monkeypatch):
+    monkeypatch.setattr(native, "found", lambda: {"dunefield.rules": "/nowhere.so"})
+    monkeypatch.setattr(sys, "meta_path", [f for f in sys.meta_path if not isinstance(f, native.Libraries)])
+    assert "dunefield.rules" in sys.modules or __import__("dunefield.rules")
+    assert not native.prefer({})
+    assert not any(isinstance(finder, native.Libraries) for finder in sys.meta_path)
