--- a/rosechute/command/lab.py
+++ b/rosechute/command/lab.py
@@ -297,6 +297,39 @@
     _print(["scenario", *policies], rows, form)
 
 
+@command.command("curve", epilog="Example: rosechute lab curve calm clients.rate load.html --figure p99_ms")
+@click.argument("scenario")
+@click.argument("path")
+@click.argument("target", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--figure", default="goodput", show_default=True)
+@click.option("--any-program", is_flag=True, help="Take runs of other sources, too.")
+@stored(required=True)
+def curve(scenario: str, path: str, target: Path, figure: str, any_program: bool, store: Path) -> None:
+    """Draw a figure against the values that sweeps of SCENARIO gave to PATH, a line a policy with its 95% interval,
+    and write it to TARGET as one HTML file."""
+    values: dict[tuple[str, float], list[float]] = defaultdict(list)
+    for row in _open(store).rows(scenario, made_by=None if any_program else program()):
+        at = json.loads(row.changes).get(path)
+        if isinstance(at, str):
+            from rosechute.file.units import span
+            try:
+                at = span(at) / 1e9
+            except ValueError:
+                continue
+        if at is not None:
+            values[row.policy, float(at)].append(_figure(row, figure))
+    if not values:
+        raise click.ClickException(f"no run of {scenario!r} in {store} has a value of its own for {path!r}; sweep "
+                                   f"with --set {path}=...")
+    found: dict[str, list[Any]] = defaultdict(list)
+    for (policy, at), sample in values.items():
+        found[policy].append((at, interval(sample)))
+    from rosechute.lab.report import curves
+    again = shlex.join(["rosechute", "lab", "curve", scenario, path, str(target), "--figure", figure])
+    target.write_text(curves(scenario, path, figure, found, again), encoding="utf-8")
+    click.echo(f"{len(values)} points in {target}")
+
+
 @command.command("export", epilog="Example: rosechute lab export runs.csv --scenario calm")
 @click.argument("target", type=click.Path(path_type=Path, dir_okay=False))
 @click.option("--scenario", help="Only this one's runs.")
--- a/rosechute/lab/report.py
+++ b/rosechute/lab/report.py
@@ -17,6 +17,7 @@
 from rosechute.lab.judge import RULES
 from rosechute.lab.run import Run
 from rosechute.lab.spec import Scenario
+from rosechute.lab.statistic import Interval
 
 matplotlib.rcParams.update({"svg.hashsalt": "rosechute", "svg.fonttype": "none", "font.size": 9,
                             "axes.spines.top": False, "axes.spines.right": False})
@@ -152,3 +153,33 @@
     """The whole report."""
     return (f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(scenario.name)}</title>'
             f"<style>{STYLE}</style>{''.join(_parts(run, scenario, policy, seed, command))}</html>\n")
+
+
+def curves(scenario: str, path: str, figure: str, found: dict[str, list[tuple[float, Interval]]],
+           command: str) -> str:
+    """A figure against a parameter that sweeps have varied, a line a policy with its interval, as one HTML file.
+
+    Args:
+        found: By policy: the parameter's value, and the figure's mean and interval there.
+    """
+    drawing = Figure(figsize=(9, 4.5), layout="constrained")
+    axes = drawing.subplots()
+    values = [value for points in found.values() for value, _ in points]
+    for policy, points in found.items():
+        points = sorted(points, key=lambda point: point[0])
+        at = [value for value, _ in points]
+        axes.plot(at, [spread.mean for _, spread in points], marker="o", ms=3, label=policy)
+        axes.fill_between(at, [spread.low for _, spread in points], [spread.high for _, spread in points], alpha=0.2)
+    if min(values) > 0 and max(values) / min(values) >= 8:
+        axes.set_xscale("log", base=2)
+    axes.set_xlabel(path)
+    axes.set_ylabel(figure)
+    axes.grid(alpha=0.3, lw=0.4)
+    axes.legend(frameon=False, ncols=3)
+    rows = [[policy, value, spread.mean, spread.low, spread.high, spread.size]
+            for policy, points in found.items() for value, spread in sorted(points, key=lambda point: point[0])]
+    title = html.escape(f"{scenario}: {figure} by {path}")
+    return (f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{title}</title><style>{STYLE}</style>'
+            f"<h1>{title}</h1><p>Mean of the runs, shaded: its 95% interval.</p>{_drawn(drawing)}"
+            f"{_table(['policy', path, 'mean', 'low', 'high', 'runs'], rows)}"
+            f"<h2>Play it again</h2><p><code>{html.escape(command)}</code></p></html>\n")
--- a/tests/test_lab_files.py
+++ b/tests/test_lab_files.py
@@ -168,6 +168,10 @@
     assert "±" in told
     assert "12 runs" in cli("export", tmp_path / "o.csv", "--store", store).output
     assert len((tmp_path / "o.csv").read_text().splitlines()) == 13
+    cli(*sweeping[:7], 2, *sweeping[8:], "--set", "clients.rate=50.0,100.0,400.0")
+    assert "6 points" in cli("curve", "calm", "clients.rate", tmp_path / "c.html", "--store", store).output
+    assert (tmp_path / "c.html").read_text().count("<svg") == 1
+    assert "has a value of its own" in cli("curve", "calm", "x", tmp_path / "c.html", "--store", store).output
     assert "no such scenario" in cli("run", "nothing").output
     assert "is not PATH=VALUE" in cli("run", "calm", "--set", "x").output
 
