--- a/rosechute/lab/clients.py
+++ b/rosechute/lab/clients.py
@@ -12,6 +12,8 @@
 from rosechute.lab.spec import Scenario
 from rosechute.lab.trace import ASK, FAILED, LOST, REFUSED, Trace
 
+FAR_NS = 100_000_000.0
+
 
 def level(shape: str, depth: float, period: float, t: float) -> float:
     """The rate at time `t` (seconds), as a part of the mean."""
@@ -27,6 +29,11 @@
     return 1.0
 
 
+def peak(shape: str, depth: float) -> float:
+    """The highest that `level` gets."""
+    return {"flat": 1.0, "burst": 1.0 + 9.0 * depth}.get(shape, 1.0 + depth)
+
+
 class Clients:
     """All clients of a run. Arrivals are a Poisson process whose rate follows the shape, by thinning."""
 
@@ -62,8 +69,7 @@
                 shares[tenant] *= factor
         self._tenants = _sums(shares)
         self._factor = load * sum(shares, 0.0) / sum(self._spec.tenants, 0.0)
-        self._top = self._factor * {"flat": 1.0, "burst": 1.0 + 9.0 * self._spec.depth}.get(
-            self._spec.shape, 1.0 + self._spec.depth)
+        self._top = self._factor * peak(self._spec.shape, self._spec.depth)
 
     def _next(self, _: None) -> None:
         """The next arrival that the highest rate could bring; it comes or not by the rate as it is."""
@@ -73,15 +79,15 @@
         rate = self._factor * level(spec.shape, spec.depth, spec.period / 1e9, now / 1e9)
         if now and (spec.shape == "flat" or self._coming.uniform() * self._top < rate):
             self._arrive()
-        gap = self._coming.exponential() / (spec.rate * max(self._top, 1e-6)) * 1e9
-        self._engine.after(int(min(gap, 100_000_000.0)) + 1, self._next if gap < 1e8 else self._idle)
+        self._wait(None)
 
-    def _idle(self, _: None) -> None:
-        """No arrival for so long; the process has no memory, so it is drawn again."""
+    def _wait(self, _: None) -> None:
+        """Wait for the next arrival. Where it is far off, the wait is drawn again later: the process has no memory,
+        and the rate may be another by then."""
         if self.stopped:
             return
         gap = self._coming.exponential() / (self._spec.rate * max(self._top, 1e-6)) * 1e9
-        self._engine.after(int(min(gap, 100_000_000.0)) + 1, self._next if gap < 1e8 else self._idle)
+        self._engine.after(int(min(gap, FAR_NS)) + 1, self._next if gap < FAR_NS else self._wait)
 
     def _arrive(self) -> None:
         self._origins += 1
--- a/rosechute/lab/instance.py
+++ b/rosechute/lab/instance.py
@@ -220,9 +220,7 @@
         attempt = request.out[number] = Attempt(request, number, server, now, self.life)
         self._trace.add((now, SEND, request.rid, number, server.number))
         self._engine.at(min(action.abandon_ns, request.until), self._abandon, attempt)
-        pool = self._pools.get(server.name)
-        if pool is None or pool.process != server.started:
-            pool = self._pools[server.name] = Pool(server.started)
+        pool = self._pool(server)
         oldest = now - self._idle
         while pool.idle and pool.idle[0] < oldest:
             pool.idle.popleft()
@@ -240,6 +238,13 @@
         else:
             self._engine.after(there + back, self._connected, attempt)
 
+    def _pool(self, server: Server) -> Pool:
+        """The connections to a server's process, none yet where it is another than the last."""
+        pool = self._pools.get(server.name)
+        if pool is None or pool.process != server.started:
+            pool = self._pools[server.name] = Pool(server.started)
+        return pool
+
     def _connected(self, attempt: Attempt) -> None:
         server = attempt.server
         if attempt.over:
@@ -248,9 +253,7 @@
             self._unconnected(attempt)
             return
         server.connections += 1
-        pool = self._pools.get(server.name)
-        if pool is None or pool.process != server.started:
-            pool = self._pools[server.name] = Pool(server.started)
+        pool = self._pool(server)
         pool.open += 1
         attempt.connected = True
         self._send(attempt, self._handshake)
--- a/rosechute/lab/load.py
+++ b/rosechute/lab/load.py
@@ -18,7 +18,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from rosechute.lab.clients import level
+from rosechute.lab.clients import level, peak
 
 MOST_RATE = 20_000.0
 MOST_S = 600.0
@@ -59,7 +59,7 @@
     if not 0 < rate <= MOST_RATE or not 0 < seconds <= MOST_S:
         raise ValueError(f"a load has up to {MOST_RATE:g} requests a second and lasts up to {MOST_S:g} s")
     rng = np.random.default_rng(seed)
-    top = rate * max(level(shape, depth, period_s, t) for t in np.linspace(0, period_s, 1000, endpoint=False))
+    top = rate * peak(shape, depth)
     count = rng.poisson(top * seconds)
     times = np.sort(rng.random(count) * seconds).tolist()
     keep = rng.random(count).tolist()
--- a/rosechute/lab/sweep.py
+++ b/rosechute/lab/sweep.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from rosechute.lab.library import key, load
-from rosechute.lab.store import Row, Store, identity, program
+from rosechute.lab.store import Row, Store, identity
 from rosechute.lab.worker import play
 
 
@@ -22,6 +22,7 @@
     changes: str
     policy: str
     seed: int
+    program: str
 
 
 def grid(changes: Mapping[str, Sequence[Any]]) -> list[dict[str, Any]]:
@@ -40,7 +41,7 @@
               for name in scenarios for change in grid(changes)]
     for seed in seeds:
         for name, change, scenario in loaded:
-            found += [Task(identity(made_by, scenario, policy, seed), name, change, policy, seed)
+            found += [Task(identity(made_by, scenario, policy, seed), name, change, policy, seed, made_by)
                       for policy in policies]
     return found
 
@@ -53,7 +54,6 @@
 
     On KeyboardInterrupt the runs in hand are given up, and those that ended are kept.
     """
-    made_by = program()
     left = []
     for task in wanted:
         if store.has(task.key):
@@ -65,19 +65,19 @@
     pool = ProcessPoolExecutor(workers, mp_context=multiprocessing.get_context("spawn"))
     try:
         out: dict[Future[tuple[str, float, dict[str, Any]]], Task] = {
-            pool.submit(play, *task[1:]): task for task in itertools.islice(coming, 2 * workers)}
+            pool.submit(play, *task[1:5]): task for task in itertools.islice(coming, 2 * workers)}
         while out:
             ended, _ = wait(out, return_when=FIRST_COMPLETED)
             for future in ended:
                 task = out.pop(future)
                 digest, took_s, result = future.result()
-                store.add(Row(task.key, made_by, task.scenario, task.changes, task.policy, task.seed, digest, took_s,
-                              result))
+                store.add(Row(task.key, task.program, task.scenario, task.changes, task.policy, task.seed, digest,
+                              took_s, result))
                 done += 1
                 told(task)
                 follows = next(coming, None)
                 if follows is not None:
-                    out[pool.submit(play, *follows[1:])] = follows
+                    out[pool.submit(play, *follows[1:5])] = follows
     except KeyboardInterrupt:
         for process in list((pool._processes or {}).values()):
             process.terminate()
