--- a/hollyport/http1/connection.py
+++ b/hollyport/http1/connection.py
@@ -7,7 +7,7 @@
 import select
 import socket
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import cast
 
 import httptools
 
@@ -24,16 +24,20 @@
 NO_BODY = (204, 304)
 
 
-class Reply(NamedTuple):
+class Reply:
     """One whole answer."""
 
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.status, self.headers, self.body = status, headers, body
 
     def header(self, name: bytes) -> bytes | None:
         """The first header of this lower-case name."""
-        return next((value for key, value in self.headers if key == name), None)
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
 
 
 Done = Callable[["Reply | None"], None]
@@ -116,7 +120,7 @@
             # Nothing of this answer has been parsed: what is whole and plain needs no parser.
             found = quick.reply(data, MAX_HEAD, self._plain)
             if found is not None:
-                self._finish(Reply(200, *found))
+                self._finish(Reply(200, found[0], found[1]))
                 return
         self._raw += len(data)
         spoilt = False
--- a/hollyport/http1/quick.py
+++ b/hollyport/http1/quick.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import re
-from typing import NamedTuple
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -22,16 +21,8 @@
 APART = frozenset({b"transfer-encoding", b"upgrade", b"expect", b"keep-alive", b"proxy-connection", b"te",
                    b"trailer"})
 KEPT = (None, b"keep-alive", b"Keep-Alive")  # what the field `connection` may say: what holds without it
-
-
-class Request(NamedTuple):
-    """A whole request. `told` has the fields by name; no name stands there twice."""
-
-    method: bytes
-    target: bytes
-    fields: Fields
-    told: dict[bytes, bytes]
-    body: bytes
+# A whole request: method, target, fields, the fields by name (none stands there twice), body.
+Request = tuple[bytes, bytes, Fields, dict[bytes, bytes], bytes]
 
 
 def request(data: bytes, most_head: int, most_body: int) -> Request | None:
@@ -53,7 +44,7 @@
             return None
     elif LENGTH.fullmatch(length) is None or int(length) != size or size > most_body:
         return None
-    return Request(found[1], found[2], fields, told, data[end:] if size else b"")
+    return found[1], found[2], fields, told, data[end:] if size else b""
 
 
 def reply(data: bytes, most_head: int, most_body: int) -> tuple[Fields, bytes] | None:
--- a/tests/test_quick.py
+++ b/tests/test_quick.py
@@ -77,9 +77,10 @@
         return
     seen = Parsed(httptools.HttpRequestParser, data)
     assert seen.whole and not seen.wrong and seen.messages == 1 and seen.keep
-    assert (found.fields, found.body, found.target) == (seen.fields, seen.body, seen.url)
-    assert found.method == seen.parser.get_method() and seen.parser.get_http_version() == "1.1"
-    assert found.told == dict(seen.fields) and len(found.told) == len(seen.fields)
+    method, target, fields, told, body = found
+    assert (fields, body, target) == (seen.fields, seen.body, seen.url)
+    assert method == seen.parser.get_method() and seen.parser.get_http_version() == "1.1"
+    assert told == dict(seen.fields) and len(told) == len(seen.fields)
 
 
 @given(messages(REPLIES))
