Play the lab's scenarios against real sidecar processes, beside the model

Whether the model tells of the real thing could not be seen. `lab real SCENARIO` starts the sidecars as they ship, puts the model's own servers behind real sockets, and plays arrivals and faults in real time; the same judge reads what clients and servers saw, and the report has both runs side by side. Partitions and one-way cuts are refused by name.

--- a/rosechute/command/lab.py
+++ b/rosechute/command/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import csv
 import json
 import os
@@ -29,6 +30,7 @@
 from rosechute.lab.trace import read as read_trace
 
 LESS_IS_BETTER = ("_ms", "refused", "failed", "late", "lost", "unanswered", "attempts_a_request", "breaches")
+TRUSTED_LAG_MS = 10.0  # by how much a bench in real time may be late before its figures are its own
 F = TypeVar("F", bound=Callable[..., Any])
 
 
@@ -66,6 +68,7 @@
     \b
     Examples:
       rosechute lab ls
+      rosechute lab real slow-one --report slow.html
       rosechute lab run metastable --policy module --seed 3 --report report.html
       rosechute lab sweep calm overload --policy module --policy two-choices --seeds 20
       rosechute lab compare module two-choices
@@ -82,6 +85,13 @@
         raise click.ClickException("\n".join(map(str, error.problems))) from None
 
 
+def _again(parts: list[str], changes: dict[str, list[Any]]) -> str:
+    """The command that plays a run again."""
+    for path, values in changes.items():
+        parts = [*parts, "--set", f"{path}={json.dumps(values[0])}"]
+    return shlex.join(["rosechute", "lab", *parts])
+
+
 @command.command("run", epilog="Example: rosechute lab run slow-one --policy peak-ewma --seed 2 --report slow.html")
 @click.argument("scenario")
 @click.option("--policy", type=click.Choice(NAMES), default="module", show_default=True)
@@ -101,10 +111,8 @@
         done = play(wanted, policy, seed)
     if report is not None:
         from rosechute.lab.report import page
-        again = ["rosechute", "lab", "run", scenario, "--policy", policy, "--seed", str(seed)]
-        for path, values in changes.items():
-            again += ["--set", f"{path}={json.dumps(values[0])}"]
-        report.write_text(page(done, wanted, policy, seed, shlex.join(again)), encoding="utf-8")
+        again = _again(["run", scenario, "--policy", policy, "--seed", str(seed)], changes)
+        report.write_text(page(done, wanted, policy, seed, again), encoding="utf-8")
     if form == "json":
         click.echo(json.dumps({"digest": done.digest, **done.result}, sort_keys=True))
     else:
@@ -123,6 +131,56 @@
     sys.exit(1 if sum(done.result["breaches"].values()) else 0)
 
 
+@command.command("real", epilog="Example: rosechute lab real slow-one --seed 2 --report slow.html")
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--report", type=click.Path(path_type=Path, dir_okay=False), help="Write both runs as one HTML file.")
+@click.option("--trace", type=click.Path(path_type=Path, dir_okay=False), help="Write the real run's records.")
+@click.option("--format", "form", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@changes
+def real(scenario: str, seed: int, report: Path | None, trace: Path | None, form: str,
+         changes: dict[str, list[Any]]) -> None:
+    """Play SCENARIO against real sidecar processes on loopback, in real time, and in the model with the same seed.
+
+    Exit code 0 where the processes kept all rules, 1 where they did not.
+    """
+    import uvloop
+
+    from rosechute.lab.real.world import real as play_real
+    wanted = _load(scenario, changes)
+    try:
+        with trace.open("wb") if trace is not None else contextlib.nullcontext() as file:
+            done = uvloop.run(play_real(wanted, seed, file))
+    except FileError as error:
+        raise click.ClickException("\n".join(map(str, error.problems))) from None
+    except (RuntimeError, ExceptionGroup) as error:
+        reasons = error.exceptions if isinstance(error, ExceptionGroup) else (error,)
+        raise click.ClickException("; ".join(map(str, reasons))) from None
+    model = play(wanted, "module", seed)
+    if report is not None:
+        from rosechute.lab.report import beside
+        again = _again(["real", scenario, "--seed", str(seed)], changes)
+        lag = done.lag_p99_ms, done.lag_max_ms
+        report.write_text(beside(model, done.run, lag, wanted, seed, again), encoding="utf-8")
+    if form == "json":
+        click.echo(json.dumps({"model": model.result, "real": done.run.result, "lag_p99_ms": done.lag_p99_ms,
+                               "lag_max_ms": done.lag_max_ms}, sort_keys=True))
+    else:
+        rows = [[name, f"{value:.4g}", f"{done.run.result[name]:.4g}"]
+                for name, value in model.result.items() if not isinstance(value, dict)]
+        rows += [[f"breaches: {rule}", str(count), str(done.run.result["breaches"][rule])]
+                 for rule, count in model.result["breaches"].items()]
+        _print(["figure", "model", "processes"], rows, "text")
+        click.echo(f"the bench's own events were {done.lag_p99_ms:.1f} ms late (99 of 100), {done.lag_max_ms:.1f} ms "
+                   "at the most")
+        for breach in done.run.judge.breaches[:10]:
+            click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}", err=True)
+    if done.lag_p99_ms > TRUSTED_LAG_MS:
+        click.echo("this machine could not keep the pace: at more than "
+                   f"{TRUSTED_LAG_MS:g} ms, the figures tell of the bench", err=True)
+    sys.exit(1 if sum(done.run.result["breaches"].values()) else 0)
+
+
 @command.command("judge", epilog="Example: rosechute lab judge run.trace --scenario overload")
 @click.argument("trace", type=click.Path(path_type=Path, dir_okay=False, exists=True))
 @click.option("--scenario", required=True, help="The scenario that the trace is of.")
--- a/rosechute/lab/clients.py
+++ b/rosechute/lab/clients.py
@@ -8,7 +8,8 @@
 
 from rosechute.lab.draw import Streams, Zipf
 from rosechute.lab.engine import Engine
-from rosechute.lab.instance import Instance, Request
+from rosechute.lab.host import Host
+from rosechute.lab.instance import Request
 from rosechute.lab.spec import Scenario
 from rosechute.lab.trace import ASK, FAILED, LOST, REFUSED, Trace
 
@@ -37,7 +38,7 @@
 class Clients:
     """All clients of a run. Arrivals are a Poisson process whose rate follows the shape, by thinning."""
 
-    def __init__(self, engine: Engine, scenario: Scenario, streams: Streams, instances: Sequence[Instance],
+    def __init__(self, engine: Engine, scenario: Scenario, streams: Streams, instances: Sequence[Host],
                  trace: Trace) -> None:
         self._engine, self._set, self._spec = engine, scenario, scenario.clients
         self._instances, self._trace = instances, trace
--- a/rosechute/lab/engine.py
+++ b/rosechute/lab/engine.py
@@ -28,6 +28,10 @@
         self._made += 1
         heapq.heappush(self._heap, (self.now + (span if span > 0 else 0), self._made, play, what))
 
+    def due(self) -> int | None:
+        """When the next event is; None where there is none."""
+        return self._heap[0][0] if self._heap else None
+
     def run(self, until: int) -> None:
         """Play all events up to a time, that time's own included."""
         heap, pop = self._heap, heapq.heappop
--- a/rosechute/lab/judge.py
+++ b/rosechute/lab/judge.py
@@ -63,12 +63,13 @@
 
 
 class _Open:
-    __slots__ = ("at", "instance", "cls", "until", "sent", "ended", "out")
+    __slots__ = ("at", "instance", "cls", "until", "sent", "ended", "ended_at", "out")
 
     def __init__(self, at: int, instance: int, cls: int, until: int) -> None:
         self.at, self.instance, self.cls, self.until = at, instance, cls, until
         self.sent: list[_Sent] = []
         self.ended = False
+        self.ended_at = 0
         self.out = 0
 
 
@@ -77,12 +78,14 @@
 
     Args:
         scenario: The settings that the run was under.
-        slack_ns: How much later than the client's time an answer may be on its way.
+        slack_ns: How far apart two ends may see one event, where they are real: an answer may be so much late, and
+            a server may see an attempt so long after its request has ended or its drain was told.
     """
 
     def __init__(self, scenario: Scenario, slack_ns: int = 0) -> None:
         self._set = scenario
         self._slack = slack_ns
+        self._over: deque[tuple[int, int]] = deque()  # ended requests that are kept for as long as the slack
         self.breaches: list[Breach] = []
         self.counts: Counter[str] = Counter({rule: 0 for rule in RULES})
         self._open: dict[int, _Open] = {}
@@ -98,6 +101,8 @@
         if at < self._at:
             self._breach("conservation", f"a record of {at} after one of {self._at}")
         self._at = at
+        while self._over and self._over[0][0] < at - self._slack:
+            self._forget(self._over.popleft()[1])
         if kind == ARRIVE:
             self._arrive(at, *record[2:])
         elif kind == SEND:
@@ -138,14 +143,14 @@
 
     def _send(self, at: int, rid: int, number: int, server: int) -> None:
         request = self._open.get(rid)
-        if request is None or request.ended:
+        if request is None or (request.ended and at > request.ended_at + self._slack):
             self._breach("conservation", f"request {rid} was sent to {server} though it was not open")
             return
         if number != len(request.sent):
             self._breach("conservation", f"attempt {number} of request {rid} came after {len(request.sent)} others")
         if number >= self._set.instances.attempts:
             self._breach("conservation", f"request {rid} was sent {number + 1} times")
-        if at >= request.until:
+        if at >= request.until + self._slack:
             self._breach("answer", f"request {rid} was sent after its client's time")
         risky = [s for s in request.sent if s.how is None or s.how not in NEVER_RAN]
         cls = self._set.classes[request.cls]
@@ -161,7 +166,7 @@
             ):
                 self._breach("repeat", f"request {rid} of {cls.name} was repeated outside its {cls.group}")
         told = self._draining.get((request.instance, server))
-        if told is not None and at > told + self._set.instances.grace:
+        if told is not None and at > told + self._set.instances.grace + self._slack:
             self._breach("drain", f"request {rid} was sent to {server}, {at - told} ns after its drain was told")
         request.sent.append(_Sent(server, at))
         request.out += 1
@@ -194,7 +199,7 @@
         if request is None or request.ended:
             self._breach("answer", f"request {rid} got a second final answer")
             return
-        request.ended = True
+        request.ended, request.ended_at = True, self._at
         if ending == LEFT:
             self._breach("answer", f"request {rid} was not answered before its client gave up")
         elif ending == LOST:
@@ -206,7 +211,16 @@
         self._put_away(rid, request)
 
     def _put_away(self, rid: int, request: _Open) -> None:
-        if request.ended and request.out <= 0:
+        if not request.ended or request.out > 0:
+            return
+        if self._slack:
+            self._over.append((self._at, rid))
+        else:
+            del self._open[rid]
+
+    def _forget(self, rid: int) -> None:
+        request = self._open.get(rid)
+        if request is not None and request.out <= 0:  # else an attempt was seen late: put away again at its outcome
             del self._open[rid]
 
     # --- rules three and four
--- a/rosechute/lab/listing.py
+++ b/rosechute/lab/listing.py
@@ -81,6 +81,10 @@
         self._watching.add(instance)
         self.fetch(instance)
 
+    def watches(self, instance: int) -> bool:
+        """Whether it is told of changes."""
+        return instance in self._watching
+
     def fetch(self, instance: int) -> None:
         """Answer with the whole list, in turn."""
         self._engine.at(self._turn(), self._answer, instance)
--- a/rosechute/lab/report.py
+++ b/rosechute/lab/report.py
@@ -22,6 +22,8 @@
 matplotlib.rcParams.update({"svg.hashsalt": "rosechute", "svg.fonttype": "none", "font.size": 9,
                             "axes.spines.top": False, "axes.spines.right": False})
 COLOURS = {"served": "#3b7a57", "late": "#d9a441", "refused": "#7d8aa5", "failed": "#b3433b"}
+SHOWN = ("goodput", "wanted", "requests", "attempts_a_request", "served", "late", "refused", "failed", "lost",
+         "p50_ms", "p90_ms", "p99_ms", "p99.9_ms")
 STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:60rem;margin:2rem auto;padding:0 1rem;color:#222}
 table{border-collapse:collapse;margin:.6rem 0}td,th{padding:.2rem .7rem;border-bottom:1px solid #ddd;text-align:right}
 td:first-child,th:first-child{text-align:left}.good{color:#2c6b45}.bad{color:#a3322a;font-weight:600}
@@ -83,15 +85,18 @@
     return _drawn(figure)
 
 
-def latencies(run: Run) -> str:
-    """Time to the answer against the share that took longer, both on log scales."""
+def latencies(*runs: tuple[str, Run]) -> str:
+    """Time to the answer against the share that took longer, both on log scales; a line a run, with its name."""
     figure = Figure(figsize=(9, 3), layout="constrained")
     axes = figure.subplots()
-    histogram = run.figures.histogram()
-    if histogram.get_total_count():
-        shares = np.logspace(0, -4, 60)
-        axes.plot([histogram.get_value_at_percentile(100 * (1 - share)) / 1000 for share in shares], shares,
-                  color="#34526f")
+    shares = np.logspace(0, -4, 60)
+    for (name, run), colour in zip(runs, ("#34526f", "#c07a2c"), strict=False):
+        histogram = run.figures.histogram()
+        if histogram.get_total_count():
+            axes.plot([histogram.get_value_at_percentile(100 * (1 - share)) / 1000 for share in shares], shares,
+                      color=colour, label=name)
+    if len(runs) > 1:
+        axes.legend(frameon=False)
     axes.set_xscale("log")
     axes.set_yscale("log")
     axes.set_xlabel("milliseconds to the answer")
@@ -136,11 +141,9 @@
     yield _table(["rule", "breaches"], [[rule, result["breaches"][rule]] for rule in RULES])
     for breach in run.judge.breaches[:20]:
         yield f"<p>{breach.at_ns / 1e9:.3f} s, {breach.rule}: {html.escape(breach.text)}</p>"
-    names = ("goodput", "wanted", "requests", "attempts_a_request", "served", "late", "refused", "failed", "lost",
-             "p50_ms", "p90_ms", "p99_ms", "p99.9_ms")
-    yield "<h2>Figures</h2>" + _table(["figure", "value"], [[name, result[name]] for name in names])
+    yield "<h2>Figures</h2>" + _table(["figure", "value"], [[name, result[name]] for name in SHOWN])
     yield "<h2>Service over time</h2><p>Shaded: faults in force.</p>" + timeline(run, scenario)
-    yield "<h2>Time to the answer</h2>" + latencies(run)
+    yield "<h2>Time to the answer</h2>" + latencies((policy, run))
     yield "<h2>Attempts by server</h2>" + heat(run, scenario)
     kinds = list(next(iter(result["classes"].values())))
     yield "<h2>By class</h2>" + _table(["class", *kinds], [[name, *row.values()]
@@ -155,6 +158,37 @@
             f"<style>{STYLE}</style>{''.join(_parts(run, scenario, policy, seed, command))}</html>\n")
 
 
+def beside(model: Run, real: Run, lag_ms: tuple[float, float], scenario: Scenario, seed: int, command: str) -> str:
+    """The report of a scenario that was played against real processes, with the model's run of the same seed.
+
+    Args:
+        lag_ms: By how much the bench's own events were late, at the 99th percentile and at the most.
+    """
+    rows = [[name, model.result[name], real.result[name]] for name in SHOWN]
+    breaches = [[rule, model.result["breaches"][rule], real.result["breaches"][rule]] for rule in RULES]
+    total = sum(real.result["breaches"].values())
+    word = "The processes kept all rules." if not total else f"{total} breaches of the rules by the processes."
+    told = "".join(f"<p>{b.at_ns / 1e9:.3f} s, {b.rule}: {html.escape(b.text)}</p>" for b in real.judge.breaches[:20])
+    heads = ["", "model", "processes"]
+    title = html.escape(f"{scenario.name}: model and processes")
+    parts = [
+        f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{title}</title><style>{STYLE}</style>',
+        f"<h1>{title}</h1><p>{html.escape(scenario.about)}</p><p>The decision module, seed {seed}, "
+        f"{shown(scenario.duration)}, {scenario.instances.count} sidecars, {scenario.fleet.servers} servers.</p>",
+        f'<p class="{"bad" if total else "good"}">{word}</p>', _table(heads, breaches), told,
+        "<h2>Figures</h2>", _table(heads, rows),
+        f"<p>The bench's own events were {lag_ms[0]:.1f} ms late (99 of 100), {lag_ms[1]:.1f} ms at the most.</p>"
+        "<h2>Service over time: model</h2><p>Shaded: faults in force.</p>", timeline(model, scenario),
+        "<h2>Service over time: processes</h2>", timeline(real, scenario),
+        "<h2>Time to the answer</h2>", latencies(("model", model), ("processes", real)),
+        "<h2>Attempts by server: model</h2>", heat(model, scenario),
+        "<h2>Attempts by server: processes</h2>", heat(real, scenario),
+        f"<h2>Play it again</h2><p><code>{html.escape(command)}</code></p><p>A run against processes is like another "
+        "and not the same: arrivals, work and faults are the seed's, the rest is the machine's.</p></html>\n",
+    ]
+    return "".join(parts)
+
+
 def curves(scenario: str, path: str, figure: str, found: dict[str, list[tuple[float, Interval]]],
            command: str) -> str:
     """A figure against a parameter that sweeps have varied, a line a policy with its interval, as one HTML file.
--- a/rosechute/lab/trace.py
+++ b/rosechute/lab/trace.py
@@ -41,11 +41,13 @@
     Args:
         readers: Called with each record, in order.
         file: Where records go as well, if anywhere; `read` gets them back.
+        block: How many records are handed on at a time. The digest is of the blocks.
     """
 
-    def __init__(self, readers: Iterable[Reader] = (), file: BinaryIO | None = None) -> None:
+    def __init__(self, readers: Iterable[Reader] = (), file: BinaryIO | None = None, block: int = BLOCK) -> None:
         self._readers = tuple(readers)
         self._file = file
+        self._most = block
         self._hash = xxhash.xxh3_128()
         self._block: list[Record] = []
         self._encode = msgspec.msgpack.Encoder().encode
@@ -53,7 +55,7 @@
 
     def add(self, record: Record) -> None:
         self._block.append(record)
-        if len(self._block) >= BLOCK:
+        if len(self._block) >= self._most:
             self.flush()
 
     def flush(self) -> None:
--- a/rosechute/lab/world.py
+++ b/rosechute/lab/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import BinaryIO
 
 from dunefield.interface import Directory, Entry, Invariants, Limits, RequestClass, Settings, Tenant
@@ -10,13 +10,14 @@
 from rosechute.lab.draw import Streams
 from rosechute.lab.engine import Engine
 from rosechute.lab.faults import Actor
+from rosechute.lab.host import Host
 from rosechute.lab.instance import Instance, Policy
 from rosechute.lab.listing import Listing
 from rosechute.lab.network import Paths
 from rosechute.lab.rivals import Place, make
 from rosechute.lab.server import Job, Server
 from rosechute.lab.spec import Scenario
-from rosechute.lab.trace import BEGIN, DRAINING, FELL, GAUGE, GONE, INSTANCE, SERVER, UP, Reader, Trace
+from rosechute.lab.trace import BEGIN, BLOCK, DRAINING, FELL, GAUGE, GONE, INSTANCE, SERVER, UP, Reader, Trace
 
 GAUGE_NS = 100_000_000
 TAIL_NS = 1_000_000_000  # after the last client's time: for what is still on its way
@@ -54,12 +55,15 @@
         file: Where the trace goes, if anywhere.
     """
 
+    block = BLOCK
+    """Records that are judged and counted at a time."""
+
     def __init__(self, scenario: Scenario, policy: str, seed: int, readers: Iterable[Reader] = (),
                  file: BinaryIO | None = None) -> None:
         self.scenario, self.policy, self.seed = scenario, policy, seed
         streams = Streams(seed)
         engine = self.engine = Engine()
-        trace = self.trace = Trace(readers, file)
+        trace = self.trace = Trace(readers, file, self.block)
         fleet = scenario.fleet
         self.servers = [Server(engine, fleet, i, i % fleet.zones, self._began, self._fell)
                         for i in range(fleet.servers)]
@@ -71,16 +75,7 @@
         self.listing = Listing(engine, scenario.discovery, self._tell)
         entries = [self._entry(server) for server in self.servers]
         self.listing.seed(entries)
-
-        def maker(number: int, life: int) -> Policy:
-            zone = number % fleet.zones
-            seed_of = streams.number(f"policy/{number}/{life}")
-            return make(policy, Place(settings(scenario, number, zone), seed_of, engine, by_name))
-
-        self.instances = [
-            Instance(i, i % fleet.zones, engine, scenario.instances, by_name, self.paths, self.listing, trace, maker,
-                     fleet.reports != "none", int(fleet.handshake or 0), fleet.connections)
-            for i in range(scenario.instances.count)]
+        self.instances = self._hosts(streams, by_name)
         for server in self.servers:
             trace.add((0, SERVER, server.number, UP, server._speed * fleet.cores, fleet.cold_from))
         for instance in self.instances:
@@ -89,6 +84,20 @@
         Actor(self, streams.of("faults"))
         engine.after(GAUGE_NS, self._gauge)
 
+    def _hosts(self, streams: Streams, by_name: dict[str, Server]) -> Sequence[Host]:
+        """All instances, in order of their numbers."""
+        scenario, fleet, engine = self.scenario, self.scenario.fleet, self.engine
+
+        def maker(number: int, life: int) -> Policy:
+            zone = number % fleet.zones
+            seed_of = streams.number(f"policy/{number}/{life}")
+            return make(self.policy, Place(settings(scenario, number, zone), seed_of, engine, by_name))
+
+        return [
+            Instance(i, i % fleet.zones, engine, scenario.instances, by_name, self.paths, self.listing, self.trace,
+                     maker, fleet.reports != "none", int(fleet.handshake or 0), fleet.connections)
+            for i in range(scenario.instances.count)]
+
     def play(self) -> str:
         """Play it to the end, then on until all has ended; the trace's digest."""
         self.engine.run(self.scenario.duration)
@@ -105,7 +114,7 @@
         if not server.up:
             return
         self._say(server, GONE)
-        server.stop()
+        self._stop(server)
         server.draining = False
         self.listing.change(self._entry(server)._replace(lifecycle="removed"))
         if pause is not None:
@@ -115,7 +124,7 @@
         """A new process, cold."""
         server = self.servers[number]
         if not server.up:
-            server.start()
+            self._start(server)
             self._say(server, UP)
             self.listing.change(self._entry(server))
 
@@ -134,7 +143,7 @@
             server.draining = False
             self.listing.change(self._entry(server))
 
-    def restart(self, instance: Instance) -> None:
+    def restart(self, instance: Host) -> None:
         """An instance is killed, and comes back with its last list only."""
         if instance.up:
             instance.kill()
@@ -142,11 +151,17 @@
             self.trace.add((self.engine.now, INSTANCE, instance.number, 0))
             self.engine.after(self.scenario.instances.restart, self._back, instance)
 
-    def _back(self, instance: Instance) -> None:
+    def _back(self, instance: Host) -> None:
         self.trace.add((self.engine.now, INSTANCE, instance.number, 1))
         instance.start()
         self.clients.up.append(instance)
 
+    def _stop(self, server: Server) -> None:
+        server.stop()
+
+    def _start(self, server: Server) -> None:
+        server.start()
+
     # --- what the parts tell
 
     def _entry(self, server: Server) -> Entry:
@@ -170,7 +185,7 @@
         """It remains down, as the rule has it; discovery lists it still, since nobody told it otherwise."""
         if server.up:
             self._say(server, FELL)
-            server.stop()
+            self._stop(server)
 
     def _gauge(self, _: None) -> None:
         self.trace.add((self.engine.now, GAUGE, sum(s.held for s in self.servers),
--- a/rosechute/standin/discovery.py
+++ b/rosechute/standin/discovery.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -13,7 +14,11 @@
 
 
 class StandInDiscovery:
-    """One list, told to whoever asks."""
+    """One list, told to whoever asks.
+
+    `asked` is called at each call, and `told` with the lines of each answer and whether they are the whole list;
+    while `refuses` says so, calls are not answered and their connection is closed.
+    """
 
     def __init__(self) -> None:
         self.index = 1
@@ -24,6 +29,9 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self.calls = 0
         self.port = 0
+        self.asked: Callable[[], None] = lambda: None
+        self.told: Callable[[list[dict[str, Any]], bool], None] = lambda lines, whole: None
+        self.refuses: Callable[[], bool] = lambda: False
 
     async def start(self) -> int:
         """Listen; return the port."""
@@ -43,8 +51,8 @@
         before = self._lines.get(name, {})
         self.index += 1
         self._lines[name] = {
-            "name": name, "address": f"127.0.0.1:{port}", "zone": "a", "type": "m", "group": 0, "weight": 1.0,
-            **before, "status": status,
+            "name": name, "zone": "a", "type": "m", "group": 0, "weight": 1.0,
+            **before, "address": f"127.0.0.1:{port}", "status": status,
             "since_ms": since_ms if since_ms is not None else before.get("since_ms", 0), **more,
         }
         self._changed[name] = self.index
@@ -68,8 +76,13 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.calls += 1
+                if self.refuses():
+                    break
+                self.asked()
                 target = head.split(b" ", 2)[1].decode("latin-1")
-                body = json.dumps(await self._answer(target)).encode()
+                answer = await self._answer(target)
+                body = json.dumps(answer).encode()
+                self.told(answer["endpoints"], answer["snapshot"])
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         writer.close()
         self._tasks.discard(task)
--- /dev/null
+++ b/tests/test_lab_real.py
@@ -0,0 +1,180 @@
+"""Scenarios against real processes: what is told to them, what is seen of them, and that the judge sees through."""
+
+import asyncio
+import contextlib
+import socket
+import uuid
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from dunefield.interface import Settings
+from rosechute.command.main import main
+from rosechute.file.problems import FileError
+from rosechute.lab.engine import Engine
+from rosechute.lab.figures import Figures
+from rosechute.lab.judge import Judge
+from rosechute.lab.library import load, names
+from rosechute.lab.real.asking import SLACK_NS
+from rosechute.lab.real.process import Process, free_ports, told
+from rosechute.lab.real.pump import Pump
+from rosechute.lab.real.world import RealWorld, playable, real
+from rosechute.lab.run import run
+from rosechute.lab.trace import ASK, END, OUTCOME, REFUSED, SEND, SERVED, TOLD
+from rosechute.lab.world import settings
+
+MS = 1_000_000
+SMALL = {"duration": "2s", "clients.rate": 100.0, "fleet.servers": 4, "instances.count": 2}
+
+
+@pytest.mark.parametrize("name", names())
+def test_the_platforms_settings_are_read_back_as_they_were_told(name):
+    scenario = load(name)
+    for index in (0, 3):
+        wanted = settings(scenario, index, index % scenario.fleet.zones)
+        assert Settings.parse(told(wanted)) == wanted
+
+
+def test_a_calm_scenario_is_served_by_processes_as_by_the_model():
+    scenario = load("rolling-deploy", {**SMALL, "warmup": "1ms", "fault": []})
+    played = asyncio.run(real(scenario, 3))
+    model = run(scenario, "module", 3).result
+    found = played.run.result
+    assert not any(found["breaches"].values()), played.run.judge.breaches
+    assert found["wanted"] == model["wanted"] > 150  # arrivals are the seed's
+    assert found["unanswered"] == found["lost"] == 0
+    assert found["goodput"] > 0.8
+    assert sum(played.run.figures.heat().sum(axis=1) > 0) == 4
+
+
+def test_servers_and_sidecars_that_come_and_go_break_no_rule():
+    scenario = load("rolling-deploy", {**SMALL, "duration": "5s", "clients.rate": 80.0, "warmup": "1ms", "fault": [
+        {"kind": "rolling-deploy", "at": "300ms", "lasts": "1500ms", "share": 0.5, "pause": "400ms"},
+        {"kind": "mass-restart", "at": "2s", "lasts": "100ms", "share": 0.5},
+        {"kind": "discovery-down", "at": "2500ms", "lasts": "500ms"},
+        {"kind": "crash-loop", "at": "3s", "lasts": "1s", "servers": [3], "pause": "200ms"},
+    ]})
+    played = asyncio.run(real(scenario, 2))
+    assert not any(played.run.result["breaches"].values()), played.run.judge.breaches
+    assert played.run.result["unanswered"] == 0
+    states = {(server, state) for _, server, state in played.run.figures.states}
+    assert {state for _, state in states} == {0, 1, 2}  # up again, draining, gone
+    late = played.run.figures.heat()[:, -6:].sum(axis=1)
+    assert (late > 0).sum() >= 3  # those that came back, on other ports, are called again
+
+
+def test_a_sidecar_that_dies_untold_leaves_requests_unanswered_and_the_judge_says_so(tmp_path):
+    scenario = load("calm", {**SMALL, "warmup": "1ms"})
+
+    async def play():
+        judge = Judge(scenario, SLACK_NS)
+        world = RealWorld(scenario, 1, tmp_path, (Figures(scenario), judge))
+        world.engine.at(500 * MS, lambda _: world.sidecars[0].process.kill())
+        await world.real()
+        judge.finish()
+        return judge
+
+    judge = asyncio.run(play())
+    assert judge.counts["answer"] > 0
+    assert not any(judge.counts[rule] for rule in ("repeat", "drain", "cold", "conservation"))
+
+
+def test_a_request_that_servers_never_were_asked_for_is_turned_away(tmp_path):
+    scenario = load("calm", {**SMALL, "warmup": "1ms"})
+
+    async def play():
+        world = RealWorld(scenario, 1, tmp_path)
+        for listener in world.listeners:
+            await listener.opened()
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.listeners[0].port)
+        writer.write(b"GET /list-rooms/9 HTTP/1.1\r\nX-Request-ID: 9\r\n\r\n")
+        with contextlib.suppress(ConnectionResetError):
+            assert await reader.read() == b""
+        writer.close()
+        for listener in world.listeners:
+            listener.close()
+
+    asyncio.run(play())
+
+
+def test_what_only_the_model_can_play_is_told_all_at_once():
+    scenario = load("partition", {"clients.rate": 1e4, "instances.count": 500, "fleet.servers": 300,
+                                  "duration": "1h"})
+    with pytest.raises(FileError) as caught:
+        playable(scenario)
+    assert [p.path for p in caught.value.problems] == [
+        "fault[0].kind", "clients.rate", "fleet.servers", "instances.count", "duration"]
+    done = CliRunner().invoke(main, ["lab", "real", "one-way"])
+    assert done.exit_code == 1
+    assert "one-way-cut" in done.output
+
+
+def test_a_sidecar_that_does_not_come_up_is_told_with_its_last_words(tmp_path):
+    async def begin():
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            process = Process(tmp_path, "n", port, free_ports(1)[0], settings(load("calm")), 1)
+            with pytest.raises(RuntimeError, match=r"sidecar n did not come up: .*process\.listen"):
+                await process.start({"index": 1, "snapshot": True, "endpoints": []})
+            await process.gone()
+
+    asyncio.run(begin())
+
+
+def test_the_command_writes_model_and_processes_side_by_side(tmp_path):
+    page = tmp_path / f"{uuid.uuid4().hex}.html"
+    done = CliRunner().invoke(main, ["lab", "real", "calm", "--report", str(page), "--set", "warmup=1ms", *(
+        part for path, value in SMALL.items() for part in ("--set", f"{path}={value}"))])
+    assert done.exit_code == 0, done.output
+    assert "processes" in done.output
+    text = Path(page).read_text(encoding="utf-8")
+    assert text.count("<svg") == 5
+    assert "rosechute lab real calm --seed 1 --set" in text
+
+
+def test_events_are_played_in_order_and_what_comes_in_between_sees_those_before():
+    async def play():
+        engine, seen = Engine(), []
+        pump = Pump(engine)
+        for at in (3, 1, 2):
+            engine.at(at * 10 * MS, seen.append, at)
+        pump.act(seen.append, "too early")
+        pump.start()
+        await asyncio.sleep(0.015)
+        await asyncio.sleep(0)
+        pump.act(seen.append, "between")
+        await pump.until(60 * MS)
+        pump.stop()
+        pump.act(seen.append, "too late")
+        assert [one for one in seen if one != "between"] == [1, 2, 3]
+        assert seen.index("between") >= 1
+        assert engine.now >= 30 * MS
+        assert pump.lag_ms(100) >= pump.lag_ms(50) >= 0
+
+    asyncio.run(play())
+
+
+def _judged(*records, slack=SLACK_NS):
+    judge = Judge(load("calm"), slack)
+    for record in sorted(records, key=lambda r: r[0]):
+        judge(record)
+    judge.finish()
+    return {rule for rule, count in judge.counts.items() if count}
+
+
+def test_two_ends_of_a_socket_may_see_an_event_so_far_apart_and_no_further():
+    ask = (0, ASK, 1, 1, 0, 0, 0, 0, 1000 * MS, 0)
+    for after, found in ((SLACK_NS, set()), (SLACK_NS + 1, {"conservation"})):
+        end = 300 * MS
+        assert _judged(ask, (end, END, 1, REFUSED, 0), (end + after, SEND, 1, 0, 2),
+                       (end + after + 1, OUTCOME, 1, 0, 306)) == found
+    grace = int(load("calm").instances.grace)
+    for after, found in ((SLACK_NS, set()), (SLACK_NS + 1, {"drain"})):
+        at = 100 * MS + grace + after
+        assert _judged((100 * MS, TOLD, 0, 2, 1, 0), ask, (at, SEND, 1, 0, 2), (at + 1, OUTCOME, 1, 0, 100),
+                       (at + 2, END, 1, SERVED, 0)) == found
+    sent = (1, SEND, 1, 0, 2), (2, OUTCOME, 1, 0, 100)
+    for late, found in ((SLACK_NS, set()), (SLACK_NS + 1, {"answer"})):
+        assert _judged(ask, *sent, (1000 * MS + late, END, 1, SERVED, 0)) == found
+    assert _judged(ask, *sent, (5, END, 1, SERVED, 0), (6, END, 1, SERVED, 0)) == {"answer"}
