Count slow answers for a crowd by the part of their aim that they took

With half of the fleet's capacity used the module refused 2.3 in 100: from 1.5 times the usual an answer counted as slow, and where times scatter as an exponential's do a fifth is, by chance. A slow answer now counts by the part of its aim that it took, or answers take in the mean, whole from a fifth on; time-outs and full servers count whole as before. The level also fades over a pause of 16 deadlines: it came back with the first answer after it.

--- a/dunefield/crowding.py
+++ b/dunefield/crowding.py
@@ -13,6 +13,7 @@
 MOST = 1.5  # crowding at most: from 1 on all are shed, and what goes beyond only makes that last
 DOUBT = 4.0  # own answers that count for one finding: work varies, and two slow ones in a row are chance
 SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
+PAUSE = 16  # deadlines without an answer after which the level is old; where nearly all are shed, few come
 SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
 
 
@@ -56,16 +57,25 @@
         self.level = min(MOST, self.level + (found - self.level) * gain)
         self._at = now
 
-    def felt(self, now: int, slow: bool) -> None:
-        """An own answer was slow or was not, where nothing else tells. Only whether, not how much: a server
-        that stands still or keeps silent says nothing of the rest."""
-        self.level += (slow - self.level) * GAIN / DOUBT
+    def felt(self, now: int, slow: bool, part: float) -> None:
+        """An own answer was slow or was not, or did not come, where nothing else tells. It counts by the part
+        of its aim that it took, or answers take in the mean: where times scatter a fifth is slow by chance, and
+        harms nobody while the aim is far. Never more than whole: a server that stands still or keeps silent
+        says nothing of the rest. It harms where servers jam long before answers come near their aim."""
+        found = min(1.0, max(part, self._long) / SHORT) if slow else 0.0
+        if now - self._at > PAUSE * self._horizon:
+            self.level = self.faded(now)  # what was before a pause does not come back with its end
+        self.level += (found - self.level) * GAIN / DOUBT
         self._at = now
 
+    def faded(self, now: int) -> float:
+        """The level, less as it gets old: where nobody calls, nothing tells that the crowd has gone."""
+        return self.level * self._horizon / (self._horizon + now - self._at)
+
     def sheds(self, now: int, number: int, out: int, flow: float, draw: float) -> bool:
         """Whether a call of this class must not reach the fleet. `flow` is how many calls are in flight by
         Little's law while nothing waits, `out` how many are; `draw` is a random number."""
-        crowd = self.level * self._horizon / (self._horizon + now - self._at)
+        crowd = self.faded(now)
         # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
         usual = self._slack * (2.0 + flow + 2.0 * math.sqrt(flow))
         crowd = max(crowd, 2.0 * math.log((1 + out) / usual))
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -383,7 +383,8 @@
         if self._probing or not (silent or event.how in (OK, FULL)):
             return  # echoes tell it better
         slow = event.how != OK or event.lag_ns > SLOW * attempt.size
-        self._crowding.felt(now, slow)
+        part = event.lag_ns / self._classes[attempt.cls].aim_ns if event.how == OK else 1.0
+        self._crowding.felt(now, slow, part)
 
     def _judge(self, now: int, attempt: Attempt, how: int) -> None:
         """Budget, trial and conviction after an outcome."""
