Conclude a run, tell its breaches and reach its engine in one place each

Read again: the real run put figures and judge together as the model's does, breaches were written out by three commands and two pages, and the servers reached the engine through two methods that only passed on.

The same behaviour, from `concluded`, `_breaches` and the engine itself.

--- a/rosechute/command/lab.py
+++ b/rosechute/command/lab.py
@@ -20,7 +20,7 @@
 from rich.table import Table
 
 from rosechute.file.problems import FileError
-from rosechute.lab.judge import Judge
+from rosechute.lab.judge import Breach, Judge
 from rosechute.lab.library import load, names
 from rosechute.lab.rivals import NAMES
 from rosechute.lab.run import run as play
@@ -85,6 +85,12 @@
         raise click.ClickException("\n".join(map(str, error.problems))) from None
 
 
+def _breaches(found: Sequence[Breach], err: bool = False) -> None:
+    """Tell each breach, a line each."""
+    for breach in found:
+        click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}", err=err)
+
+
 def _again(parts: list[str], changes: dict[str, list[Any]]) -> str:
     """The command that plays a run again."""
     for path, values in changes.items():
@@ -126,8 +132,7 @@
             table.add_row(f"breaches: {rule}", str(count))
         table.add_row("trace", done.digest)
         Console().print(table)
-        for breach in done.judge.breaches[:10]:
-            click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}", err=True)
+        _breaches(done.judge.breaches[:10], err=True)
     sys.exit(1 if sum(done.result["breaches"].values()) else 0)
 
 
@@ -173,8 +178,7 @@
         _print(["figure", "model", "processes"], rows, "text")
         click.echo(f"the bench's own events were {done.lag_p99_ms:.1f} ms late (99 of 100), {done.lag_max_ms:.1f} ms "
                    "at the most")
-        for breach in done.run.judge.breaches[:10]:
-            click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}", err=True)
+        _breaches(done.run.judge.breaches[:10], err=True)
     if done.lag_p99_ms > TRUSTED_LAG_MS:
         click.echo("this machine could not keep the pace: at more than "
                    f"{TRUSTED_LAG_MS:g} ms, the figures tell of the bench", err=True)
@@ -195,8 +199,7 @@
     except ValueError as error:
         raise click.ClickException(f"{trace}: {error}") from None
     found.finish()
-    for breach in found.breaches:
-        click.echo(f"{breach.at_ns / 1e9:.3f} s  {breach.rule}: {breach.text}")
+    _breaches(found.breaches)
     click.echo(", ".join(f"{rule} {count}" for rule, count in found.counts.items()))
     sys.exit(1 if sum(found.counts.values()) else 0)
 
--- a/rosechute/lab/real/serving.py
+++ b/rosechute/lab/real/serving.py
@@ -5,12 +5,12 @@
 import asyncio
 import json
 import socket
-from collections.abc import Callable
 from typing import Protocol, cast
 
 import httptools
 
 from dunefield.interface import How
+from rosechute.lab.engine import Engine
 from rosechute.lab.instance import Request, report
 from rosechute.lab.network import FROM, TO, Paths
 from rosechute.lab.real.pump import Pump
@@ -27,6 +27,7 @@
 class Surroundings(Protocol):
     """What the servers of a run share."""
 
+    engine: Engine
     pump: Pump
     trace: Trace
     paths: Paths
@@ -34,12 +35,6 @@
     def asked(self, rid: str) -> tuple[Request, int, int] | None:
         """A client's request by its id, with its instance's number and zone."""
 
-    def now(self) -> int:
-        """The run's time."""
-
-    def after(self, span: int, play: Callable[[Served], None], what: Served) -> None:
-        """Have something played later."""
-
 
 class Listening:
     """The socket of one server, which comes and goes with its process. A new process has a port of its own."""
@@ -112,10 +107,10 @@
     def begin(self) -> None:
         """It has come; the scenario's network has it arrive later."""
         around, server = self.at.around, self.at.server
-        around.trace.add((around.now(), SEND, self.request.rid, self.number, server.number))
+        around.trace.add((around.engine.now, SEND, self.request.rid, self.number, server.number))
         delay = around.paths.delay(self.instance, server.number, TO, self.zone == server.zone)
         if delay is not None:
-            around.after(delay, Served._arrive, self)
+            around.engine.after(delay, Served._arrive, self)
 
     def _arrive(self) -> None:
         around, server, request = self.at.around, self.at.server, self.request
@@ -124,7 +119,7 @@
         work = request.work + (self.at.handshake if self.fresh else 0)
         self.job = Job(request.rid, self.number, request.cls, request.key, work, self.instance, self, self._done)
         taken = server.arrive(self.job)
-        around.trace.add((around.now(), ARRIVE, request.rid, self.number, server.number, self.instance, work,
+        around.trace.add((around.engine.now, ARRIVE, request.rid, self.number, server.number, self.instance, work,
                           int(taken)))
         if not taken:
             self._reply(How.FULL)
@@ -145,7 +140,7 @@
         self.how = how
         delay = around.paths.delay(self.instance, server.number, FROM, self.zone == server.zone)
         if delay is not None and not self.over:
-            around.after(delay, Served._replied, self)
+            around.engine.after(delay, Served._replied, self)
 
     def _replied(self) -> None:
         if not self.over:
@@ -158,7 +153,7 @@
             return
         self.over = True
         around = self.at.around
-        around.trace.add((around.now(), OUTCOME, self.request.rid, self.number, int(how)))
+        around.trace.add((around.engine.now, OUTCOME, self.request.rid, self.number, int(how)))
         job, self.job = self.job, None  # it knows this one: without the cycle both go at once
         if job is not None and how is How.CANCELLED:
             self.at.server.withdraw(job)
--- a/rosechute/lab/real/world.py
+++ b/rosechute/lab/real/world.py
@@ -6,7 +6,7 @@
 import gc
 import tempfile
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import BinaryIO, NamedTuple
 
@@ -20,8 +20,8 @@
 from rosechute.lab.real.asking import SLACK_NS, Sidecar
 from rosechute.lab.real.process import Process, free_ports
 from rosechute.lab.real.pump import Pump
-from rosechute.lab.real.serving import Listening, Served
-from rosechute.lab.run import Run
+from rosechute.lab.real.serving import Listening
+from rosechute.lab.run import Run, concluded
 from rosechute.lab.server import Server
 from rosechute.lab.spec import Scenario
 from rosechute.lab.trace import INSTANCE, Reader
@@ -85,12 +85,6 @@
 
     # --- what servers and sidecars need
 
-    def now(self) -> int:
-        return self.engine.now
-
-    def after(self, span: int, play: Callable[[Served], None], what: Served) -> None:
-        self.engine.after(span, play, what)
-
     def asked(self, rid: str) -> tuple[Request, int, int] | None:
         found = self._requests.get(rid)
         return (found[0], found[1].number, found[1].zone) if found is not None else None
@@ -212,7 +206,5 @@
     with tempfile.TemporaryDirectory(prefix="lab-") as folder:
         world = RealWorld(scenario, seed, Path(folder), (figures, judge), file)
         digest = await world.real()
-    judge.finish()
-    result = {**figures.result(), "breaches": dict(judge.counts)}
-    return Played(Run(digest, result, judge, figures, world.engine.played), world.pump.lag_ms(99),
+    return Played(concluded(digest, judge, figures, world.engine.played), world.pump.lag_ms(99),
                   world.pump.lag_ms(100))
--- a/rosechute/lab/report.py
+++ b/rosechute/lab/report.py
@@ -126,6 +126,10 @@
     return f"<table><tr>{''.join(f'<th>{html.escape(name)}</th>' for name in head)}</tr>{cells}</table>"
 
 
+def _breaches(run: Run) -> str:
+    return "".join(f"<p>{b.at_ns / 1e9:.3f} s, {b.rule}: {html.escape(b.text)}</p>" for b in run.judge.breaches[:20])
+
+
 def _said(value: Any) -> str:
     return f"{value:.4g}" if isinstance(value, float) else str(value)
 
@@ -139,8 +143,7 @@
     word = "All rules were kept." if not total else f"{total} breaches of the rules."
     yield f'<p class="{"bad" if total else "good"}">{word}</p>'
     yield _table(["rule", "breaches"], [[rule, result["breaches"][rule]] for rule in RULES])
-    for breach in run.judge.breaches[:20]:
-        yield f"<p>{breach.at_ns / 1e9:.3f} s, {breach.rule}: {html.escape(breach.text)}</p>"
+    yield _breaches(run)
     yield "<h2>Figures</h2>" + _table(["figure", "value"], [[name, result[name]] for name in SHOWN])
     yield "<h2>Service over time</h2><p>Shaded: faults in force.</p>" + timeline(run, scenario)
     yield "<h2>Time to the answer</h2>" + latencies((policy, run))
@@ -168,14 +171,13 @@
     breaches = [[rule, model.result["breaches"][rule], real.result["breaches"][rule]] for rule in RULES]
     total = sum(real.result["breaches"].values())
     word = "The processes kept all rules." if not total else f"{total} breaches of the rules by the processes."
-    told = "".join(f"<p>{b.at_ns / 1e9:.3f} s, {b.rule}: {html.escape(b.text)}</p>" for b in real.judge.breaches[:20])
     heads = ["", "model", "processes"]
     title = html.escape(f"{scenario.name}: model and processes")
     parts = [
         f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{title}</title><style>{STYLE}</style>',
         f"<h1>{title}</h1><p>{html.escape(scenario.about)}</p><p>The decision module, seed {seed}, "
         f"{shown(scenario.duration)}, {scenario.instances.count} sidecars, {scenario.fleet.servers} servers.</p>",
-        f'<p class="{"bad" if total else "good"}">{word}</p>', _table(heads, breaches), told,
+        f'<p class="{"bad" if total else "good"}">{word}</p>', _table(heads, breaches), _breaches(real),
         "<h2>Figures</h2>", _table(heads, rows),
         f"<p>The bench's own events were {lag_ms[0]:.1f} ms late (99 of 100), {lag_ms[1]:.1f} ms at the most.</p>"
         "<h2>Service over time: model</h2><p>Shaded: faults in force.</p>", timeline(model, scenario),
--- a/rosechute/lab/run.py
+++ b/rosechute/lab/run.py
@@ -25,6 +25,10 @@
     figures, judge = Figures(scenario), Judge(scenario)
     world = World(scenario, policy, seed, (figures, judge), file)
     digest = world.play()
+    return concluded(digest, judge, figures, world.engine.played)
+
+
+def concluded(digest: str, judge: Judge, figures: Figures, played: int) -> Run:
+    """What came of a run whose last record has been read."""
     judge.finish()
-    result = {**figures.result(), "breaches": dict(judge.counts)}
-    return Run(digest, result, judge, figures, world.engine.played)
+    return Run(digest, {**figures.result(), "breaches": dict(judge.counts)}, judge, figures, played)
