Draw servers in proportion to what their answers tell that they can take

A sidecar draws from 8 of 60 servers, all alike (rules._pick), and nobody read the util and qps that answers bring. Errors of one server in two were taken as often as any other (rules._judge convicts two in a row only), and so were draining ones that a late list still names: refused at once, they look idle. Change: Exception "told capacity", in fleets of more than 16 servers.

--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -11,6 +11,7 @@
 
 import math
 import random
+from collections.abc import Mapping
 from zlib import crc32
 
 from dunefield.crowding import CROWDED, Crowding
@@ -29,6 +30,10 @@
 ROUNDS = 2  # times to ask other servers before a busy one is taken
 DRAWS = 12  # draws before a pick falls back on the set of servers under budget
 SUBSET = 8  # servers that a sidecar with few calls can know by its own answers; half where connections cost
+MANY = 2 * SUBSET  # servers up to which a sidecar knows them by its own calls, and needs no reports
+LARGE = 2.5  # a server counts for so many times the mean capacity at most: told ones are noisy
+BUSY = 0.6  # utilisation, as told, from which calls may wait at a server
+IDLE = 0.05  # utilisation under which a report says too little of what its server can take
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 OVERTAKEN = 2  # later calls that are answered first while one hangs: a single one may be chance
@@ -65,6 +70,9 @@
         self._heard_at = self._served_at = self._begun_at = now
         self._reach = 1  # servers that draws go over
         self._heaviest = 1.0  # the largest weight listed
+        # Requests a second that servers can take, and that they do take: means of what their reports tell.
+        self._told = self._flow = 0.0
+        self._kinds: dict[int, float] = {}  # the same by kind
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
         self._shut_until = self._asked_at = 0  # before these no server can be tried, no list asked for
@@ -214,6 +222,8 @@
         if event.how == OK:
             server.heard = now
             self._overtake(now, attempt)
+            if event.load and attempt.sent >= server.started:
+                self._report(now, server, event.load)
         stale = event.how == RESET and self._stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
@@ -377,12 +387,46 @@
             self._extra[attempt.cls] = (max(0.0, extra + error * min(gain, 1.0)), count + 1, now)
             self._crowding.answered(event.lag_ns / self._classes[attempt.cls].aim_ns)
 
+    def _report(self, now: int, server: Server, load: Mapping[str, float]) -> None:
+        """Exception "told capacity": where answers tell how busy their server is and how many requests it
+        takes a second, the one over the other is what it can take, whoever calls it and whatever slows it."""
+        use, flow = load.get("util", 0.0), load.get("qps", 0.0)
+        if use < IDLE or flow <= 0.0 or len(self._up) <= MANY:
+            return
+        # What is old counts for less: a sidecar with few calls hears of a server once in seconds.
+        gap = now - server.told_at
+        gain = max(GAIN, gap / (gap + self._horizon)) if server.use else 1.0
+        server.told_at = now
+        server.use += (use - server.use) * gain
+        server.flow += (flow - server.flow) * gain
+        told = server.flow / server.use
+        self._flow += (flow - self._flow) * (GAIN / 8 if self._told else 1.0)
+        self._told += (told - self._told) * (GAIN / 8 if self._told else 1.0)
+        mean = self._kinds.get(server.kind, told)
+        self._kinds[server.kind] = mean + (told - mean) * GAIN / 8
+
+    def _worth(self, server: Server) -> float:
+        """What a server can take, less by far where part of its answers are errors: most can't be repaired."""
+        return self._capacity(server) * (1.0 - server.fails) ** 4
+
+    @staticmethod
+    def _spare(load: Mapping[str, float]) -> bool:
+        """Whether a server tells that it has something to spare: then it is slow by nature, not for a crowd."""
+        return load.get("util", BUSY) < BUSY
+
+    def _capacity(self, server: Server) -> float:
+        """Requests a second that a server can take; what its kind can where it has told nothing."""
+        return server.flow / server.use if server.use else self._kinds.get(server.kind, self._told)
+
     def _feel(self, now: int, attempt: Attempt, event: Response) -> None:
         """How crowded the fleet is, from own answers alone."""
         silent = event.how == TIMEOUT and attempt.server.seen < attempt.sent  # to every call, as in a jam
         if self._probing or not (silent or event.how in (OK, FULL)):
             return  # echoes tell it better
-        slow = event.how != OK or event.lag_ns > SLOW * attempt.size
+        if self._told and event.how == FULL:
+            return  # it drains, or its table is full: answers tell of queues
+        spare = self._told and self._spare(event.load)
+        slow = event.how != OK or (event.lag_ns > SLOW * attempt.size and not spare)
         part = event.lag_ns / self._classes[attempt.cls].aim_ns if event.how == OK else 1.0
         self._crowding.felt(now, slow, part)
 
@@ -412,7 +456,9 @@
         elif not failed:
             server.mute.pop(attempt.cls, None)
             server.figure = min(FIGURE, server.figure + GAIN / 8)
-        again, server.erred = server.erred, how == ERROR
+        # One that turns calls away time and again drains, or has a queue that would outlast them.
+        again, server.erred = server.erred, how == ERROR or (how == FULL and self._told > 0.0)
+        server.fails += ((how in (ERROR, TIMEOUT)) - server.fails) * GAIN
         if server.erred and again and self._may_convict():
             # Exception "conviction": failing servers answer fast, look idle and would draw all calls. Not at
             # a first error: healthy ones have those, too, and a small fleet would lack them for nothing.
@@ -457,6 +503,10 @@
         if ramp >= 1.0 or self.ceded:
             return ramp >= 1.0
         served = min(self._served, 1.0 / max(1, now - self._served_at))
+        if self._told:
+            # What it has told is what it can take now, cold as it is; before that, its kind at its worst warmth.
+            # Over what servers do take: own answers become few in a jam, and so do theirs.
+            ramp = (1.0 if server.use else ramp) * self._capacity(server) / self._flow
         rate = ramp * max(served, self._set.invariants.cold_from * self._rate) / self._reach
         server.credit = min(1.0, server.credit + rate * (now - server.credit_at))
         server.credit_at = now
@@ -518,6 +568,8 @@
                 continue
             if server.heft < self._heaviest * self._random():
                 continue  # Exception "listed weight": servers of unlike size are drawn by the weight listed
+            if self._told and self._worth(server) < LARGE * self._told * self._random():
+                continue  # likewise by what they have told that they can take
             if turn < DRAWS - 2 and now < server.mute.get(call.number, UNMUTED)[0]:
                 # Exception "unanswered class": a server may fail one class and serve the rest, which k cannot
                 # tell. Drawn all the same at the end, lest a shared cause leave the class no server.
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -20,14 +20,15 @@
     """What this sidecar knows of one server."""
 
     __slots__ = (
-        "name", "zone", "cell", "heft", "up", "gone", "started", "inflight", "k", "figure", "trial",
-        "backoff", "retry_at", "stretch", "seen", "peak", "used", "idle", "slot", "mute", "load",
-        "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at",
+        "name", "zone", "kind", "cell", "heft", "use", "flow", "told_at", "fails", "up", "gone", "started",
+        "inflight", "k", "figure", "trial", "backoff", "retry_at", "stretch", "seen", "peak", "used", "idle",
+        "slot", "mute", "load", "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at",
     )
 
     def __init__(self, entry: Entry) -> None:
         self.name = entry.server
         self.zone, self.cell, self.heft = entry.zone, entry.cell, entry.weight
+        self.kind = entry.kind
         self.inflight = 0
         self.peak = 0  # connections open, as far as own calls in flight tell
         self.used = 0  # when a connection was last used
@@ -44,6 +45,9 @@
         self.trial = False
         self.backoff = self.retry_at = 0
         self.stretch = 0.0
+        self.fails = 0.0  # share of errors and time-outs in its outcomes of late
+        self.told_at = 0  # when it last told of its load
+        self.use = self.flow = 0.0  # told utilisation, and requests a second; 0 where nothing is
         self.seen = 0  # 0: never heard of, so the fleet's mean stands in
         self.heard = 0  # when it last answered anything at all
         self.struck = 0  # when something last broke or fell silent there
