--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -222,13 +222,13 @@
         if event.how == OK:
             server.heard = now
             self._overtake(now, attempt)
-            if event.load and attempt.sent >= server.started:
-                self._report(now, server, event.load)
         stale = event.how == RESET and self._stale(now, attempt.idle, event.lag_ns)
         if attempt.sent >= server.started:  # else it speaks of the process before, and that one is gone
             server.trial = server.trial and not attempt.trial
             if not stale:
                 self._learn(now, attempt, event)
+                if event.how == OK:
+                    self._report(now, server, event.load)
                 self._feel(now, attempt, event)
                 self._judge(now, attempt, event.how)
         self._refresh(server)
@@ -400,8 +400,9 @@
         server.use += (use - server.use) * gain
         server.flow += (flow - server.flow) * gain
         told = server.flow / server.use
-        self._flow += (flow - self._flow) * (GAIN / 8 if self._told else 1.0)
-        self._told += (told - self._told) * (GAIN / 8 if self._told else 1.0)
+        gain = GAIN / 8 if self._told else 1.0
+        self._flow += (flow - self._flow) * gain
+        self._told += (told - self._told) * gain
         mean = self._kinds.get(server.kind, told)
         self._kinds[server.kind] = mean + (told - mean) * GAIN / 8
 
@@ -409,11 +410,6 @@
         """What a server can take, less by far where part of its answers are errors: most can't be repaired."""
         return self._capacity(server) * (1.0 - server.fails) ** 4
 
-    @staticmethod
-    def _spare(load: Mapping[str, float]) -> bool:
-        """Whether a server tells that it has something to spare: then it is slow by nature, not for a crowd."""
-        return load.get("util", BUSY) < BUSY
-
     def _capacity(self, server: Server) -> float:
         """Requests a second that a server can take; what its kind can where it has told nothing."""
         return server.flow / server.use if server.use else self._kinds.get(server.kind, self._told)
@@ -425,7 +421,8 @@
             return  # echoes tell it better
         if self._told and event.how == FULL:
             return  # it drains, or its table is full: answers tell of queues
-        spare = self._told and self._spare(event.load)
+        # A server that has something to spare is slow by nature, not for a crowd.
+        spare = self._told and event.load.get("util", BUSY) < BUSY
         slow = event.how != OK or (event.lag_ns > SLOW * attempt.size and not spare)
         part = event.lag_ns / self._classes[attempt.cls].aim_ns if event.how == OK else 1.0
         self._crowding.felt(now, slow, part)
