--- a/rosechute/standin/discovery.py
+++ b/rosechute/standin/discovery.py
@@ -67,6 +67,12 @@
             self._news = True
             asyncio.get_running_loop().call_soon(self._tell)
 
+    def renumber(self) -> None:
+        """Number as one does that knows the list from elsewhere and has not seen a change: all at version 1."""
+        self.index = 1
+        self._changed = dict.fromkeys(self._changed, 1)
+        self._answers.clear()
+
     def started_now(self) -> int:
         """What `since_ms` is of a server that starts at this moment."""
         return time.time_ns() // 1_000_000
--- a/tests/test_standin_discovery.py
+++ b/tests/test_standin_discovery.py
@@ -163,3 +163,23 @@
         again.stop()
 
     play(run())
+
+
+def test_renumbered_it_tells_all_of_it_only_to_one_that_knows_nothing() -> None:
+    async def run() -> None:
+        discovery = StandInDiscovery()
+        for name in "abc":
+            discovery.put(name, 80)
+        discovery.renumber()
+        async with Asking(await discovery.start()) as one:
+            one.ask("?after=0&wait_ms=0")
+            told = await one.answer()
+            assert told["index"] == 1 and names(told) == ["a", "b", "c"]
+            one.ask("?after=9&wait_ms=0")
+            assert (await one.answer()) == {"index": 1, "snapshot": False, "endpoints": []}
+            discovery.put("b", 80, "DRAINING")
+            one.ask("?after=1&wait_ms=0")
+            assert names(await one.answer()) == ["b"]
+        discovery.stop()
+
+    play(run())
