--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -42,8 +42,8 @@
 }
 CALLS = 20_000
 SQUARED = ("zone_one_by_one",)  # by the length of the list for each line that changes, which are a fifth of it
-UNITS = {"whole_bytes": "B", "change_bytes": "B", "call_us": "us", "module_mb": "MB", "lines_mb": "MB",
-         "targets_mb": "MB", "parse_peak_mb": "MB"}
+UNITS = {"whole_bytes": "B", "change_bytes": "B", "figures_bytes": "B", "call_us": "us", "module_mb": "MB",
+         "lines_mb": "MB", "targets_mb": "MB", "parse_peak_mb": "MB"}
 
 
 def line(index: int, **more: Any) -> dict[str, Any]:
@@ -73,13 +73,15 @@
     from dunefield.rules import Balancer
     from hollyport.http1.upstream import Upstream
     from hollyport.platform.discovery import read_listing
+    from hollyport.platform.stats import Gauges, Stats
 
     settings = Settings.parse(SETTINGS)
     draw = random.Random(seed)
     lines = [line(i) for i in range(size)]
     whole = body(lines, 1, True)
     some = body([line(0, status="DRAINING")], 2, False)
-    found: dict[str, float] = {"whole_bytes": len(whole), "change_bytes": len(some)}
+    figures = Stats(f"class-{i}" for i in range(5)).render(Gauges(0, size, 0))  # what operators read
+    found: dict[str, float] = {"whole_bytes": len(whole), "change_bytes": len(some), "figures_bytes": len(figures)}
     rounds = 5 if size > 2000 else 9
 
     def directory(scope: str, raw: bytes) -> Directory:
@@ -128,6 +130,8 @@
     found["one_change"], found["join_or_leave"] = statistics.median(flips), statistics.median(swaps)
     found["one_change_max"] = max(flips)
 
+    found["census"] = statistics.median(timed(lambda now=now: module.census(now)) for _ in range(9))
+
     # A zone: told one by one, and as one answer.
     zone = [i for i in range(size) if i % len(ZONES) == 1]
     events = [directory("INCREMENTAL", body([line(i, status="DELETED")], i, False)) for i in zone]
