Work out the fleet ahead from measured slopes

Cause: the page's needs and ratios would otherwise be arithmetic that nobody can repeat with other figures.

--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,51 @@
+"""The arithmetic of docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from benchmarks import capacity
+
+
+@pytest.fixture
+def points() -> dict[int, dict[str, float]]:
+    return capacity.load(None)
+
+
+def test_a_measured_length_gives_what_was_measured(points: dict[int, dict[str, float]]) -> None:
+    model = capacity.Model(points, capacity.ASSUMED)
+    for size, row in points.items():
+        for name in ("one_change", "whole_bytes", "module_mb"):
+            assert model.at(name, size) == pytest.approx(row[name])
+    between = model.at("one_change", 3600)
+    assert points[1800]["one_change"] < between < points[7200]["one_change"] and not model.beyond
+
+
+def test_longer_lists_than_were_measured_are_marked(points: dict[int, dict[str, float]]) -> None:
+    model = capacity.Model(points, {**capacity.ASSUMED, "listed": 4.0})
+    assert model.beyond and model.at("whole_bytes") == pytest.approx(4 * points[7200]["whole_bytes"], rel=0.05)
+
+
+def test_an_ordinary_days_changes_are_the_configurations_and_the_fleets(points: dict[int, dict[str, float]]) -> None:
+    changes = capacity.Model(points, capacity.ASSUMED).changes_a_day()
+    assert changes == pytest.approx(5400 + 390 * 3 + 13 * 2 + 80 / 7 + 2880 / 60)
+    fewer = capacity.Model(points, {**capacity.ASSUMED, "changes_a_restart": 0.75}).changes_a_day()
+    assert changes - fewer == pytest.approx(390 * 2.25)
+
+
+def test_each_need_has_a_bound_and_a_mechanism(points: dict[int, dict[str, float]]) -> None:
+    rows = capacity.Model(points, capacity.ASSUMED).rows()
+    assert len({(row.role, row.what) for row in rows}) == len(rows)
+    for row in rows:
+        assert row.bound > 0.0 and math.isfinite(row.ratio) and row.mechanism
+
+
+def test_a_sidecar_that_is_behind_works_no_longer_than_it_is_told(points: dict[int, dict[str, float]]) -> None:
+    slow = {size: {**row, "one_change": row["one_change"] * 100, "zone_one_by_one": row["zone_one_by_one"] * 100}
+            for size, row in points.items()}
+    for measured in (points, slow):
+        model = capacity.Model(measured, capacity.ASSUMED)
+        need = next(row.need for row in model.rows() if row.what == "processor, a zone told one by one")
+        assert need <= 1000.0 + model.change_ms()
