--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -43,6 +43,7 @@
     "change_bytes": 296.0,  # a change told to one watch, both ways: benchmarks.fleet, "one change"
     "idle_ms": 0.25,  # of a sidecar for an idle call: benchmarks.fleet --point 1000 100, "nothing", ms/s over msgs/s
     "discovery_us": 60.0,  # of the stand-in for an answer: benchmarks.fleet --point 1000 100, disc. core over msgs/s
+    "discovery_us_kb": 0.75,  # and for each KB of it: benchmarks.fleet --point 100 7200, "all start"
     "process_mb": 29.5,  # a real sidecar with a list of 100: benchmarks.fleet --point 100 100
     "process_7200_mb": 46.3,  # with 7,200, after all events: benchmarks.fleet --point 100 7200
     "probe_bytes": 57.0,  # a probe's request alone: hollyport/http1/backend.py
@@ -166,6 +167,58 @@
         ]
 
 
+class Event(NamedTuple):
+    """What happens to the fleet, as each sidecar is told of it."""
+
+    name: str
+    changes: float
+    over_s: float
+    whole: str = ""  # "first" or "again" where the whole list is told
+
+
+def events(model: Model) -> list[Event]:
+    """A day's events, and the rarer ones."""
+    a = model.a
+    part = min(1.0, a["listed"])
+    per = a["changes_a_restart"]
+    return [
+        Event("an ordinary day", model.changes_a_day(), DAY_S),
+        Event("half of a service released in a minute", SERVERS / SERVICES / 2 * per, 60),
+        Event("half of all servers released", SERVERS / 2 * per * part, a["release_s"]),
+        Event("a rack lost", a["rack"] * part, 1),
+        Event("a zone lost", model.length / ZONES, a["zone_s"]),
+        Event("a zone back", model.length / ZONES, a["zone_s"]),
+        Event("a region cut off: in the other, lost", model.length / 2, a["zone_s"]),
+        Event("a region back after an hour: in it", model.changes_a_day() / 24, 0),
+        Event("a region back: in the other", model.length / 2, a["zone_s"]),
+        Event("discovery restarted, numbers kept", 0, 0),
+        Event("discovery restarted, renumbered", 0, 0, "again"),
+        Event("all sidecars restarted, knowing nothing", 0, 0, "first"),
+    ]
+
+
+def cost(model: Model, event: Event) -> tuple[float, ...]:
+    """For a sidecar: answers, KB, ms told one by one, ms taken together, the longest stall in ms; for discovery: MB
+    and seconds of a core at the stand-in's speed."""
+    change, line = model.change_ms(), model.at("parse") / model.length
+    if event.whole:
+        took = model.whole_ms(event.whole == "again")
+        answers, size, one, together, stall = 1.0, model.at("whole_bytes"), took, took, took
+    elif not event.changes:
+        answers, size, one, together, stall = 1.0, MEASURED["idle_bytes"], *[MEASURED["idle_ms"]] * 3
+    else:
+        together = change + event.changes * line
+        # As fast as told, or as fast as taken: what comes meanwhile is in the next answer.
+        answers = max(1.0, min(event.changes, event.over_s * 1e3 / change))
+        size = event.changes * model.at("whole_bytes") / model.length + answers * MEASURED["idle_bytes"]
+        one = min(event.changes * change, answers * (change + event.changes / answers * line))
+        stall = change + event.changes / answers * line
+        if event.over_s >= 60:
+            together = one
+    return (answers, size / 1e3, one, together, stall, size * SERVERS / 1e6,
+            SERVERS * (answers * MEASURED["discovery_us"] + size / 1e3 * MEASURED["discovery_us_kb"]) / 1e6)
+
+
 def load(path: pathlib.Path | None) -> dict[int, dict[str, float]]:
     """The points of the slopes."""
     if path is None:
@@ -200,6 +253,12 @@
     for row in rows:
         print(f"| {row.role} | {row.what} | {text(row.need)}{star} {row.unit} | {text(row.bound)} {row.unit} | "
               f"{text(row.ratio)}{star} | {row.mechanism} |")
+    print("\n| event | changes | answers | KB | ms, as told | ms, as one | longest stall, ms | "
+          "discovery: MB | core s |")
+    print("| --- |" + " --- |" * 8)
+    for event in events(model):
+        cells = " | ".join(text(value) + star for value in cost(model, event))
+        print(f"| {event.name} | {event.changes:,.0f} | {cells} |")
     if chosen.sensitivity:
         sensitivity(points, assumed, rows)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -49,3 +49,11 @@
         model = capacity.Model(measured, capacity.ASSUMED)
         need = next(row.need for row in model.rows() if row.what == "processor, a zone told one by one")
         assert need <= 1000.0 + model.change_ms()
+
+
+def test_an_event_costs_no_more_as_one_answer_than_told_one_by_one(points: dict[int, dict[str, float]]) -> None:
+    model = capacity.Model(points, capacity.ASSUMED)
+    for event in capacity.events(model):
+        answers, size, told, together, stall, sent, core_s = capacity.cost(model, event)
+        assert 0.0 < together <= told * 1.001 and stall <= told * 1.001 and answers >= 1.0
+        assert sent == pytest.approx(size * capacity.SERVERS / 1e3) and core_s > 0.0
