--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -19,7 +19,7 @@
 100 and all of the sidecars; how many took more than 6 s; then for each sidecar and second of the event the messages
 (answers), bytes both ways and milliseconds of processor time, and for discovery its part of a core and bytes; the
 longest stall of the loop, alone and shared, in milliseconds (looking for it costs processor time, which is measured
-before and taken off); the real one's calls: added time is not measured here,
+before and taken off); the real one's processor time, calls and all, and its calls: added time is not measured here,
 only their p99 and longest in the same time. Hollow sidecars wait for each other's work, real ones would not.
 """
 
@@ -57,7 +57,7 @@
 POINTS = [(100, 100), (100, 450), (100, 1800), (100, 7200), (1000, 100), (1000, 1800)]
 QUICK = [(100, 100), (100, 1800)]
 HEAD = ("event", "s", "p50", "p99", "last", "late", "msgs/s", "B/s", "ms/s", "disc. core", "disc. KB/s", "stall ms",
-        "shared ms", "real p99 ms", "longest ms", "check")
+        "shared ms", "real ms/s", "real p99 ms", "longest ms", "check")
 
 
 def settings(mode: str) -> dict[str, Any]:
@@ -474,6 +474,13 @@
         with open(f"/proc/{self.real.pid}/statm", encoding="ascii") as file:
             return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
+    def _real_cpu_s(self) -> float:
+        if self.real is None:
+            return math.nan
+        with open(f"/proc/{self.real.pid}/stat", encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     async def _events(self) -> None:
         chosen = self.chosen
         zone = [number for number in range(self.servers) if number % len(ZONES) == 1]
@@ -527,7 +534,8 @@
         shared = await all_do(self.hollow, "figures")
         return {"calls": told["calls"] + self.lost_calls, "bytes": told["bytes"] + self.lost_bytes,
                 "disc_s": told["cpu_s"] + self.lost_cpu, "cpu_s": sum(one["cpu_s"] for one in shared),
-                "stall": shared[0]["stalled_s"] * 1e3, "shared": max(one["stalled_s"] for one in shared[1:]) * 1e3}
+                "real_s": self._real_cpu_s(), "stall": shared[0]["stalled_s"] * 1e3,
+                "shared": max(one["stalled_s"] for one in shared[1:]) * 1e3}
 
     async def _event(self, name: str, work: Callable[[], Awaitable[Any]], born: bool = False) -> None:
         """Let something happen, wait until it is in force everywhere, and check."""
@@ -562,6 +570,7 @@
             "ms/s": (after["cpu_s"] - before["cpu_s"] - self.base_hollow * seconds) / share * 1e3,
             "disc. core": (after["disc_s"] - before["disc_s"]) / seconds - self.base_discovery,
             "disc. KB/s": (after["bytes"] - before["bytes"]) / seconds / 1e3,
+            "real ms/s": (after["real_s"] - before["real_s"]) / seconds * 1e3,
             "stall ms": after["stall"], "shared ms": after["shared"], "real p99 ms": told["p99"],
             "longest ms": told["max"], "check": "ok" if not wrong and len(took) == self.sidecars else "FAILED",
             "real calls": told["calls"], "real served": told["served"],
@@ -582,7 +591,7 @@
             "p50": quantile(took, 0.5), "p99": quantile(took, 0.99), "last": max(took, default=math.nan),
             **{key: sum(row[key] for row in same) for key in ("late", "real calls", "real served")},
             **{key: sum(row[key] * row["s"] for row in same) / seconds
-               for key in ("msgs/s", "B/s", "ms/s", "disc. core", "disc. KB/s")},
+               for key in ("msgs/s", "B/s", "ms/s", "disc. core", "disc. KB/s", "real ms/s")},
             **{key: max(row[key] for row in same) for key in ("stall ms", "shared ms", "real p99 ms", "longest ms")},
             "check": "ok" if all(row["check"] == "ok" for row in same) else "FAILED"})
     return out
