--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,13 +1,14 @@
 """What a list of servers costs one sidecar, by the length of the list. No network, one core.
 
-    python -m benchmarks.slopes [--sizes 100 450 1800 7200] [--plain] [--tree FOLDER] [--seed 1] [--json FILE]
+    python -m benchmarks.slopes [--runs 1] [--plain] [--tree FOLDER] [--sizes 100 450 1800 7200] [--json FILE]
 
 Each size is a process of its own. `--tree` measures the packages of another checkout by this same script, so that
 before and after can be told apart; `--plain` loads its sources, else what its build has compiled. Times are medians
 of the processor time of one thread, in milliseconds where nothing else is said: the machine may be busy with other
-things, which then cost caches but no time. Memory is by `tracemalloc`, in a second process of the same size, as it
-slows all else down. Under the table: a line through the points by least squares for each figure, its range, and the
-largest distance of a point from it.
+things, which then cost caches but no time. "stall" is the longest turn of the loop in a whole sidecar without
+traffic, from an answer of discovery until it is in force. Memory is by `tracemalloc`, in a process of its own, as it
+slows all else down. Beside the points: a line through them by least squares for each figure, and the largest distance
+of a point from it, as a share of the largest point.
 """
 
 from __future__ import annotations
@@ -18,7 +19,6 @@
 import os
 import pathlib
 import random
-import resource
 import statistics
 import subprocess
 import sys
@@ -42,8 +42,8 @@
 }
 CALLS = 20_000
 SQUARED = ("zone_one_by_one",)  # by the length of the list for each line that changes, which are a fifth of it
-UNITS = {"whole_bytes": "B", "change_bytes": "B", "call_us": "us", "module_mb": "MB", "lines_mb": "MB",
-         "targets_mb": "MB", "parse_peak_mb": "MB"}
+UNITS = {"whole_bytes": "B", "change_bytes": "B", "figures_bytes": "B", "call_us": "us", "module_mb": "MB",
+         "lines_mb": "MB", "targets_mb": "MB", "parse_peak_mb": "MB"}
 
 
 def line(index: int, **more: Any) -> dict[str, Any]:
@@ -73,13 +73,15 @@
     from dunefield.rules import Balancer
     from hollyport.http1.upstream import Upstream
     from hollyport.platform.discovery import read_listing
+    from hollyport.platform.stats import Gauges, Stats
 
     settings = Settings.parse(SETTINGS)
     draw = random.Random(seed)
     lines = [line(i) for i in range(size)]
     whole = body(lines, 1, True)
     some = body([line(0, status="DRAINING")], 2, False)
-    found: dict[str, float] = {"whole_bytes": len(whole), "change_bytes": len(some)}
+    figures = Stats(f"class-{i}" for i in range(5)).render(Gauges(0, size, 0))  # what operators read
+    found: dict[str, float] = {"whole_bytes": len(whole), "change_bytes": len(some), "figures_bytes": len(figures)}
     rounds = 5 if size > 2000 else 9
 
     def directory(scope: str, raw: bytes) -> Directory:
@@ -128,6 +130,8 @@
     found["one_change"], found["join_or_leave"] = statistics.median(flips), statistics.median(swaps)
     found["one_change_max"] = max(flips)
 
+    found["census"] = statistics.median(timed(lambda now=now: module.census(now)) for _ in range(9))
+
     # A zone: told one by one, and as one answer.
     zone = [i for i in range(size) if i % len(ZONES) == 1]
     events = [directory("INCREMENTAL", body([line(i, status="DELETED")], i, False)) for i in zone]
@@ -152,6 +156,72 @@
     return found
 
 
+def stalls(size: int, seed: int) -> dict[str, float]:
+    """Milliseconds of processor time of the longest turn of the loop in a whole sidecar, from discovery's answer to
+    all of it being in force: a list where none was known, one change, a zone gone in one answer and back, and the
+    list once more; the median of a few each. Its client is the checkout's own; only its connection is not there."""
+    import asyncio
+
+    from dunefield.interface import Settings
+    from hollyport.core.address import Address
+    from hollyport.http1.connection import Reply
+    from hollyport.platform import discovery
+    from hollyport.platform.config import Config
+    from hollyport.sidecar import Sidecar
+
+    zone = [i for i in range(size) if i % len(ZONES) == 1]
+    whole = [line(i) for i in range(size)]
+    script = [("stall_first", body(whole, 1, True))]
+    for turn in range(9):
+        script.append(("stall_change", body([line(0, status=("DRAINING", "SERVING")[turn % 2])], 2 + turn, False)))
+    for turn in range(20, 29, 3):
+        script += [("stall_zone", body([line(i, status="DELETED") for i in zone], turn, False)),
+                   ("stall_zone_back", body([line(i) for i in zone], turn + 1, False)),
+                   ("stall_again", body(whole, turn + 2, True))]
+    found = [(name, [0.0]) for name, _ in script]
+    script.reverse()
+    now = [-1]
+
+    class Answers:
+        """In the place of the connection: what discovery says next, and after that nothing."""
+
+        def __init__(self, *_: object) -> None:
+            pass
+
+        async def call(self, data: bytes) -> Reply:
+            await asyncio.sleep(0.05)
+            if not script:
+                over.set()
+                await asyncio.Event().wait()
+            now[0] += 1
+            return Reply(200, [], script.pop()[1])
+
+        def close(self) -> None:
+            pass
+
+    def beat(before: int) -> None:
+        at = time.thread_time_ns()
+        if now[0] >= 0:
+            longest = found[now[0]][1]
+            longest[0] = max(longest[0], (at - before) / 1e6)
+        loop.call_soon(beat, time.thread_time_ns())
+
+    async def play() -> None:
+        nothing = {"index": 0, "snapshot": True, "endpoints": []}
+        local = Address("127.0.0.1", 0)
+        sidecar = Sidecar(Config("slopes", local, local, seed, 1024, nothing, Settings.parse(SETTINGS)), loop)
+        gc.freeze()  # as the program does
+        sidecar.subscribe(True)
+        loop.call_soon(beat, time.thread_time_ns())
+        await over.wait()
+
+    discovery._Caller = Answers  # type: ignore[assignment, misc]
+    loop = asyncio.new_event_loop()
+    over = asyncio.Event()
+    loop.run_until_complete(play())
+    return {name: statistics.median(longest[0] for other, longest in found if other == name) for name, _ in found}
+
+
 def memory(size: int, seed: int) -> dict[str, float]:
     """Megabytes at one size."""
     import asyncio
@@ -212,21 +282,23 @@
     """In the process of its own: print what was found."""
     from hollyport import native
     native.prefer()
-    found: dict[str, Any] = times(size, seed) if kind == "times" else memory(size, seed)
+    found: dict[str, Any] = {"times": times, "stalls": stalls, "memory": memory}[kind](size, seed)
     found["compiled"] = native.in_force()
-    found["rss_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     print(json.dumps(found))
 
 
-def measure(tree: pathlib.Path, sizes: list[int], seed: int, plain: bool) -> dict[int, dict[str, Any]]:
-    """All figures at each size."""
-    rows = {}
+def measure(
+    tree: pathlib.Path, sizes: list[int], seed: int, plain: bool, runs: int = 1
+) -> dict[int, dict[str, Any]]:
+    """All figures at each size: of each the median of the runs, which take turns with the sizes."""
+    taken = [{size: child(tree, size, seed, "times", plain) for size in sizes} for _ in range(runs)]
+    rows: dict[int, dict[str, Any]] = {}
     for size in sizes:
-        row = child(tree, size, seed, "times", plain)
-        row.pop("rss_mb")
-        held = child(tree, size, seed, "memory", plain)
-        held.pop("rss_mb"), held.pop("compiled")
-        rows[size] = {**row, **held}
+        same = [one[size] for one in taken]
+        rows[size] = {name: statistics.median(row[name] for row in same) for name in same[0] if name != "compiled"}
+        held = [child(tree, size, seed, "stalls", plain) for _ in range(runs)]
+        rows[size] |= {name: statistics.median(row[name] for row in held) for name in held[0] if name != "compiled"}
+        rows[size] |= child(tree, size, seed, "memory", plain)
     return rows
 
 
@@ -234,6 +306,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--sizes", nargs="+", type=int, default=[100, 450, 1800, 7200])
     parser.add_argument("--plain", action="store_true")
+    parser.add_argument("--runs", type=int, default=1, help="whose median is taken of each figure")
     parser.add_argument("--tree", type=pathlib.Path, default=HERE)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", type=pathlib.Path)
@@ -242,11 +315,11 @@
     if chosen.one:
         one(chosen.one[0], int(chosen.one[1]), chosen.seed)
         return
-    rows = measure(chosen.tree.resolve(), chosen.sizes, chosen.seed, chosen.plain)
+    rows = measure(chosen.tree.resolve(), chosen.sizes, chosen.seed, chosen.plain, chosen.runs)
     last = rows[chosen.sizes[-1]]
     load = os.getloadavg()[0]
-    print(f"{'compiled' if last['compiled'] else 'plain'}, seed {chosen.seed}, {os.cpu_count()} cores, "
-          f"load {load:.1f} (of everything on the machine), Python {sys.version.split()[0]}\n")
+    print(f"{'compiled' if last['compiled'] else 'plain'}, seed {chosen.seed}, median of {chosen.runs}, "
+          f"{os.cpu_count()} cores, load {load:.1f} (of all that runs here), Python {sys.version.split()[0]}\n")
     print("| figure | " + " | ".join(f"{size:,}" for size in chosen.sizes) + " | a server more | at zero | off by |")
     print("| --- |" + " --- |" * (len(chosen.sizes) + 3))
     for name in last:
