Call discovery again within the rule's 6 s, whatever failed before

Cause: each failure doubled the pause up to the settings' time for asking (drawn up to twice that, 20 s), a term of the operators' gives 6 s from discovery's return. Beside it: a move by SIGHUP kept the old address's pause, and its timer ended the first call to the new one; each SIGHUP put a due call off; a watch waited for a quarter of the time for asking, however long that is; with 1 s for asking a call was ended after 0.5 s, before its answer.

Change: dunefield/backoff.py decides the pauses for both ways of getting the list, from the rule's figure (interface.TOLD_NS): next call 1 s after the start of one that failed (0.5 s where pushed), or 0.375 s after its end; 1.71 s for an answer; the first pause anywhere in its range, later ones in the upper half, doubling.

--- a/dunefield/interface.py
+++ b/dunefield/interface.py
@@ -13,6 +13,9 @@
 from typing import Any, NamedTuple, Protocol
 
 SECOND = 1_000_000_000
+TOLD_NS = 6 * SECOND
+"""After a failed, refused or given-up call to discovery a change counts as told so long after discovery had it and
+could be reached. A term of the operators' standing test, which the settings do not tell: it goes before theirs."""
 
 
 class How(enum.IntEnum):
@@ -291,12 +294,14 @@
 
 
 class Directory(NamedTuple):
-    """News of the server list. `scope` is INCREMENTAL, FULL, SAVED, FAILED, or SILENT for a watch that was on
-    and says nothing any more."""
+    """News of the server list. `scope` is INCREMENTAL, FULL, SAVED, FAILED, SILENT for a watch that was on and
+    says nothing any more, or MOVED where another discovery is to be asked from now on."""
 
     scope: str
     entries: tuple[Entry, ...] = ()
     gen: int = 0
+    took_ns: int = 0
+    """How long a call had been under way that FAILED; 0 for a watch."""
 
 
 class Accept(NamedTuple):
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from zlib import crc32
 
+from dunefield.backoff import ANSWER_NS, APART_NS, LONGEST_NS, Backoff
 from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
@@ -93,7 +94,7 @@
         self._extra += [(c.aim_ns / 4, 0, now) for c in classes[len(self._extra):]]
         # How often held calls are looked at.
         self._pace = max(1, min(c.aim_ns for c in (*settings.classes, classes[self._table.unknown])) // 16)
-        self._ask_pause = settings.invariants.must_ask_in_ns // 16
+        self._backoff = Backoff(settings.invariants.must_ask_in_ns // 8, LONGEST_NS, self._random)
         dear = PROBES * settings.prices.get("probe", 0.0) > PROBE_SPEND
         self._probing = settings.reports != "none" and settings.limits.may_probe and not dear
         # How many servers a silent sidecar draws from: all where probes tell of each of them.
@@ -127,8 +128,8 @@
         elif isinstance(event, Reconfigure):
             self._adopt(now, event.settings)
             self._crowding.adopt(self._classes, self._horizon)
-            if self._set.must_ask and not self._watching:
-                self._ask_later(now)
+            if self._set.must_ask and not self._watching and self._asked_at <= now:
+                self._ask_in(now, 1)  # one that is due is not put off: settings may come again and again
             self._pump(now)
         return self._acts
 
@@ -176,10 +177,7 @@
 
     def _on_alarm(self, now: int, event: Alarm) -> None:
         if self._set.must_ask and not self._watching and now >= self._asked_at:
-            # Should no answer ever come, ask again: silence is no excuse for an old list.
-            pause = self._set.invariants.must_ask_in_ns // 2
-            self._asked_at = now + pause
-            self._acts += [Subscribe(), Defer(pause, 0)]
+            self._ask_now(now)
         if event.tag == TICK:
             # Told by its tag and not by the clock: another event of the same instant must not swallow the
             # tick, or the held calls whose time is up would be lost.
@@ -297,27 +295,30 @@
     # --- the server list ------------------------------------------------------------------------
 
     def _on_directory(self, now: int, event: Directory) -> None:
-        inv = self._set.invariants
         if event.scope == "SILENT":
             # What it missed counts soon, and of discovery it says nothing: ask at once, but not all together.
             self._watching = False
-            pause = 1 + int(min(SILENCE_NS, self._ask_pause) * self._random())
-            self._asked_at = now + pause
-            self._acts.append(Defer(pause, 0))
+            pause = min(SILENCE_NS, self._set.invariants.must_ask_in_ns // 16)
+            self._ask_in(now, 1 + int(pause * self._random()))
             return
         if event.scope == "FAILED":
-            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out.
             self._watching = False
-            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns)
-            self._ask_later(now)
+            self._ask_in(now, self._backoff.failed(event.took_ns))
+            return
+        if event.scope == "MOVED":
+            # How the one before has failed says nothing of this one, and a timer from then must not ask it twice.
+            self._watching = False
+            self._backoff.answered()
+            if self._set.must_ask:
+                self._ask_now(now)
             return
         if event.scope == "SAVED":
             # The first chance to act: a timer asked for before any event would be lost, and with it the list.
             if self._set.must_ask:
-                self._ask_later(now)
+                self._ask_in(now, 1 + int(self._set.invariants.must_ask_in_ns // 8 * self._random()))
         else:
             self._watching = self._set.must_ask
-            self._ask_pause = inv.must_ask_in_ns // 16
+            self._backoff.answered()
         if event.scope != "INCREMENTAL":
             listed = {entry.server for entry in event.entries}
             for name, server in self._servers.items():
@@ -358,11 +359,16 @@
         self._live = sum(1 for s in self._up if s.k)
         self._shut_until = 0
 
-    def _ask_later(self, now: int) -> None:
-        pause = 1 + int(self._ask_pause * 2 * self._random())
+    def _ask_in(self, now: int, pause: int) -> None:
         self._asked_at = now + pause
         self._acts.append(Defer(pause, 0))
 
+    def _ask_now(self, now: int) -> None:
+        """Ask, and ask again should nothing ever come: silence is no excuse for an old list. Not while the call may
+        still be answered, as a second one takes its place."""
+        self._acts.append(Subscribe())
+        self._ask_in(now, max(self._set.invariants.must_ask_in_ns // 2, ANSWER_NS + APART_NS))
+
     def _refresh(self, server: Server) -> None:
         """Keep the list of servers under budget true after any change to a server."""
         fits = server.up and server.inflight < server.budget
--- a/hollyport/platform/discovery.py
+++ b/hollyport/platform/discovery.py
@@ -8,18 +8,17 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
+from dunefield.backoff import ANSWER_NS, WAIT_NS, Backoff
 from dunefield.interface import Entry, Settings
 from hollyport.core.address import Address, parse_address
 from hollyport.core.log import LOG
 from hollyport.http1.connection import Connection, Reply
 
-GRACE_S = 2.0  # how long the answer to a call that does not wait may take: calls are handled in turn
 SILENT_S = 1.0  # how much longer than it may wait one that waits is waited for; what is missed counts from 2 s on
 EARLY_S = 0.1  # pause where answers tell nothing and come before their time; a watch goes on for 0.2 s
 MAX_LIST = 4 << 20  # bytes of one list
-LONGEST_WAIT_NS = 60_000_000_000
 LIFECYCLES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}
-PAUSE_S = 0.5  # between calls to an agent that pushes, after one that failed
+PUSHED_NS = 500_000_000  # the longest pause where lists are pushed: this sidecar is its agent's only caller
 
 
 class Line(NamedTuple):
@@ -37,6 +36,14 @@
     lines: tuple[Line, ...]
 
 
+class Ended(NamedTuple):
+    """A call that brought no list. `scope` is "FAILED", or "SILENT" where a watch that was on has fallen silent."""
+
+    scope: str
+    took_ns: int = 0
+    """How long the call had been under way; 0 for one that may wait."""
+
+
 class ListingError(ValueError):
     """No answer, or one that is no list."""
 
@@ -91,16 +98,19 @@
         address: Address,
         settings: Settings,
         version: int | None,
-        tell: Callable[[Listing | str], None],
+        tell: Callable[[Listing | Ended], None],
+        draw: Callable[[], float],
     ) -> None:
-        """`tell` gets each list, or "FAILED", or "SILENT" where a watch that was on has fallen silent."""
+        """`tell` gets each list, and each call's end that brought none; `draw` gives random numbers from 0 to 1."""
         self._loop, self._address, self._settings, self._tell = loop, address, settings, tell
         self._lost = False  # the last call failed, and the log says why
         self._version = version  # None until this discovery has told its own
         self._host = f"{address.host}:{address.port}".encode()
-        # A call that waits must come back well before the list would count as too old; and while it waits, a
-        # connection that has fallen silent looks like a list without news.
-        self._wait_ms = min(settings.invariants.must_ask_in_ns // 4, LONGEST_WAIT_NS) // 1_000_000
+        # A call that waits must come back well before the list would count as too old, or what it missed as told;
+        # and while it waits, a connection that has fallen silent looks like a list without news.
+        self._wait_ms = min(settings.invariants.must_ask_in_ns // 4, WAIT_NS) // 1_000_000
+        self._backoff = Backoff(PUSHED_NS, PUSHED_NS, draw)  # where lists are pushed; else the module has its own
+        self._begun: float | None = None  # when the last call began that does not wait, while it is the last
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -130,20 +140,21 @@
     async def follow(self) -> None:
         """Where lists are pushed to an agent on this machine: watch it for good, and tell no failures."""
         while True:
-            if await self._until_broken() == "FAILED":
-                await asyncio.sleep(PAUSE_S)
+            ended = await self._until_broken()
+            if ended.scope == "FAILED":
+                await asyncio.sleep(self._backoff.failed(ended.took_ns) / 1e9)
 
     async def _watching(self) -> None:
         self._tell(await self._until_broken())
 
-    async def _until_broken(self) -> str:
-        """Watch until that can't go on; how it ended, "SILENT" or "FAILED"."""
+    async def _until_broken(self) -> Ended:
+        """Watch until that can't go on; how it ended."""
         caller = _Caller(self._loop, self._address)
         try:
             await self._go_on(caller)
         except Silent:
             LOG.warning("discovery.silent")
-            return "SILENT"
+            return Ended("SILENT")
         except (OSError, ListingError) as error:
             self._fails(error)
         except Exception:
@@ -151,7 +162,11 @@
             LOG.error("discovery.broken", exc_info=True)
         finally:
             caller.close()
-        return "FAILED"
+        return self._failed()
+
+    def _failed(self) -> Ended:
+        began = self._begun
+        return Ended("FAILED", 0 if began is None else int((self._loop.time() - began) * 1e9))
 
     def _fails(self, error: Exception) -> None:
         """Discovery is down, slow or confused: an ordinary failure. The list that is there stays in use."""
@@ -191,14 +206,15 @@
             self._tell(listing)
         except (OSError, ListingError) as error:
             self._fails(error)
-            self._tell("FAILED")
+            self._tell(self._failed())
         finally:
             caller.close()
 
     async def _ask(self, caller: _Caller, query: str, wait_ms: int) -> Listing:
         head = b"GET /api/targets%s HTTP/1.1\r\nHost: %s\r\n\r\n" % (query.encode(), self._host)
+        self._begun = None if wait_ms else self._loop.time()
         # TimeoutError is an OSError.
-        async with asyncio.timeout(wait_ms / 1e3 + SILENT_S if wait_ms else GRACE_S):
+        async with asyncio.timeout(wait_ms / 1e3 + SILENT_S if wait_ms else ANSWER_NS / 1e9):
             reply = await caller.call(head)
         if reply is None:
             raise ListingError("the answer was cut, spoilt or too long")
@@ -208,6 +224,7 @@
             listing = read_listing(json.loads(reply.body), self._settings)
         except (ValueError, RecursionError) as error:
             raise ListingError(f"unreadable: {error}") from None
+        self._backoff.answered()
         if self._lost:
             self._lost = False
             LOG.info("discovery.back")
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any, Protocol
 
 from dunefield import memory
@@ -26,7 +27,7 @@
 from hollyport.http1.upstream import Upstream
 from hollyport.platform.config import Config
 from hollyport.platform.control import Control
-from hollyport.platform.discovery import Discovery, Line, Listing, read_listing
+from hollyport.platform.discovery import Discovery, Ended, Line, Listing, read_listing
 from hollyport.platform.stats import Gauges, Stats
 from hollyport.platform.takeover import Takeover, packed, unpacked
 
@@ -92,7 +93,8 @@
         self._lines: dict[str, Line] = {}  # the list as it was told last
         self._index = -1
         known = read_listing(config.known, settings)
-        self._discovery = Discovery(loop, config.discovery, settings, known.version, self._told)
+        self._draw = random.Random(config.seed).random
+        self._discovery = Discovery(loop, config.discovery, settings, known.version, self._told, self._draw)
         self.core.join(Balancer(settings, config.seed, self.core.clock()), self._backend, self)
         self._take_list(known, "SAVED")
         self._pushed = None if settings.must_ask else loop.create_task(self._discovery.follow())
@@ -203,13 +205,12 @@
     def move_discovery(self, address: Address) -> None:
         """Follow another discovery from now on: its whole list first, and its own version numbers."""
         self._discovery.close()
-        self._discovery = Discovery(self._loop, address, self._settings, None, self._told)
+        self._discovery = Discovery(self._loop, address, self._settings, None, self._told, self._draw)
         if self._pushed is not None:
             self._pushed.cancel()
             self._pushed = None
-        if self._settings.must_ask:
-            self._discovery.subscribe(True)
-        else:
+        self.core.deliver(Directory("MOVED"))
+        if not self._settings.must_ask:
             self._pushed = self._loop.create_task(self._discovery.follow())
 
     # --- Takeover's Half
@@ -341,9 +342,9 @@
 
     # --- the list
 
-    def _told(self, listing: Listing | str) -> None:
-        if isinstance(listing, str):
-            self.core.deliver(Directory(listing))
+    def _told(self, listing: Listing | Ended) -> None:
+        if isinstance(listing, Ended):
+            self.core.deliver(Directory(listing.scope, took_ns=listing.took_ns))
         else:
             self._take_list(listing, "FULL" if listing.whole else "INCREMENTAL")
             if self._takeover is not None and self._takeover.linked():
--- a/setup.py
+++ b/setup.py
@@ -14,7 +14,8 @@
 # Each group is one library, within which calls need no look-up. The protocols of ports.py are apart: the compiler
 # (mypyc 1.19.1) fails on their properties where what uses them is in the same library.
 GROUPS = [
-    ["dunefield/interface.py", "dunefield/state.py", "dunefield/crowding.py", "dunefield/rules.py",
+    ["dunefield/interface.py", "dunefield/backoff.py", "dunefield/state.py", "dunefield/crowding.py",
+     "dunefield/rules.py",
      "hollyport/core/calls.py", "hollyport/core/clock.py", "hollyport/core/flow.py", "hollyport/http1/quick.py",
      "hollyport/http1/admission.py", "hollyport/http1/backend.py", "hollyport/http1/upstream.py",
      "hollyport/http1/message.py", "hollyport/http1/connection.py", "hollyport/http1/client.py"],
