Let what died with a lab's server wait no longer

Cause: Server.stop left `waits` set on the requests that it ended. An instance that gave one up while the reset was on its way withdrew it from the next process, whose queue does not have it: ValueError, the run ended. Change: what ends with its process does not wait. The test fails without it (checked).

--- a/rosechute/lab/server.py
+++ b/rosechute/lab/server.py
@@ -121,7 +121,7 @@
         self._reset()
         self._plan += 1
         for job in lost:
-            job.over = True
+            job.over, job.waits = True, False
             job.done(job, False)
 
     def start(self) -> None:
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -76,6 +76,14 @@
     assert ended == [(1, 10, True), (3, 20, True)]
 
 
+def test_what_died_with_its_server_cannot_be_withdrawn_from_the_next():
+    _, made, send, _, _ = server()
+    jobs = [send(n, 10.0 * MS)[0] for n in range(2)]
+    made.stop()
+    made.start()
+    assert not any(made.withdraw(job) for job in jobs)
+
+
 def test_a_process_that_dies_takes_all_with_it_and_the_next_is_cold():
     engine, made, send, ended, _ = server(cold_from=0.5, cold=Span(1000 * MS))
     send(1, 10.0 * MS)
