--- a/rosechute/lab/clients.py
+++ b/rosechute/lab/clients.py
@@ -49,6 +49,13 @@
         self._classes = _sums([c.share for c in scenario.classes])
         self._shares = list(self._spec.tenants)
         self._tenants = _sums(self._shares)
+        # What each instance gets, as a part of what the heaviest does.
+        heaviest, drawn = self._spec.heaviest, streams.of("shares")
+        shares = [0.5 + drawn.uniform() if heaviest else 1.0 for _ in instances]
+        if heaviest and self._spec.heavy < len(shares):
+            shares[self._spec.heavy] = heaviest
+        self._parts = {host.number: share / max(shares) for host, share in zip(instances, shares, strict=True)}
+        self._whom = streams.of("instances")
         self._deadlines = [int(c.deadline) for c in scenario.classes]
         self.up = list(instances)
         """Those that take requests; whoever kills or starts one says so here."""
@@ -112,7 +119,8 @@
         deadline = self._deadlines[cls]
         if not up or self.stopped:
             return  # nobody takes it: no request
-        instance = up[(client + tries + self._origins) % len(up)]
+        even = self._spec.heaviest is None
+        instance = up[(client + tries + self._origins) % len(up)] if even else self._drawn()
         now = self._engine.now
 
         def over(request: Request, ending: int, hold_off: int) -> None:
@@ -127,6 +135,14 @@
         self._engine.after(deadline, instance.hang_up, request)
         instance.take(request, tenant, tries > 0)
 
+    def _drawn(self) -> Host:
+        """One of the instances that are up, by their shares of the traffic."""
+        up, draw = self.up, self._whom
+        while True:
+            instance = up[draw.below(len(up))]
+            if draw.uniform() < self._parts[instance.number]:
+                return instance
+
 
 def _sums(shares: Sequence[float]) -> list[float]:
     total = sum(shares, 0.0)
--- a/rosechute/lab/instance.py
+++ b/rosechute/lab/instance.py
@@ -431,8 +431,13 @@
 
 
 def report(server: Server) -> dict[str, float]:
-    """What a server tells of itself: requests held, those of them that wait, and the share of its cores at work."""
+    """What a server tells of itself: requests held, those of them that wait, and the share of its cores at work;
+    where it tells rates, that share and the requests that it ended a second are means of late."""
     lie = 1.0
     for factor in server.lies.values():
         lie *= factor
-    return {"inflight": server.held * lie, "queue": server.waiting * lie, "util": server.busy * lie}
+    told = {"inflight": server.held * lie, "queue": server.waiting * lie, "util": server.busy * lie}
+    if server.rates:
+        use, flow = server.of_late()
+        told |= {"util": use * lie, "qps": flow}
+    return told
--- a/rosechute/lab/listing.py
+++ b/rosechute/lab/listing.py
@@ -16,10 +16,12 @@
 
     Args:
         tell: Called with an instance and the news when they reach it.
+        instances: How many there are.
     """
 
-    def __init__(self, engine: Engine, spec: Discovery, tell: Tell) -> None:
-        self._engine, self._spec, self._tell = engine, spec, tell
+    def __init__(self, engine: Engine, spec: Discovery, tell: Tell, instances: int = 0) -> None:
+        self._engine, self._spec, self._told = engine, spec, tell
+        self._late_from = round(instances * (1.0 - spec.late_share)) if spec.late else instances
         self.entries: dict[str, Entry] = {}
         self._watching: set[int] = set()
         self._free_at = 0
@@ -93,6 +95,16 @@
         """The instance is gone."""
         self._watching.discard(instance)
 
+    def _tell(self, instance: int, news: Directory) -> None:
+        """What it says is on its way; all of it takes equally long, so that the order stays."""
+        if self._spec.late and instance >= self._late_from:
+            self._engine.after(self._spec.late, self._hear, (instance, news))
+        else:
+            self._told(instance, news)
+
+    def _hear(self, told: tuple[int, Directory]) -> None:
+        self._told(*told)
+
     def _turn(self) -> int:
         self._free_at = max(self._free_at, self._engine.now) + self._cost
         return self._free_at
--- a/rosechute/lab/server.py
+++ b/rosechute/lab/server.py
@@ -12,12 +12,14 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
 from rosechute.lab.engine import Engine
 from rosechute.lab.spec import Fleet
 
+RATES_NS = 1_000_000_000  # over which rates are smoothed that a server tells
 STEPS_COLD = 20  # times that a cold server's speed is looked at while it warms
 
 
@@ -57,6 +59,7 @@
         self._speed = float(spec.speed)
         self.connections = 0
         self.ran = 0
+        self.rates = spec.reports == "rates"
         self._reset()
 
     def _reset(self) -> None:
@@ -71,7 +74,7 @@
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._pressure: deque[tuple[int, float]] = deque()  # work that arrived while cold
         self._pressed = 0.0
-        self._busy = 0.0
+        self._use = self._flow = 0.0
 
     # --- what others see
 
@@ -89,6 +92,12 @@
         """The share of the cores that is at work."""
         return min(1.0, len(self._running) / self.spec.cores)
 
+    def of_late(self) -> tuple[float, float]:
+        """Share of the cores at work and requests ended a second, smoothed over `RATES_NS`. Both are low by the
+        same part just after a start, so their ratio is not."""
+        self._advance()
+        return self._use, self._flow
+
     def capacity(self) -> float:
         """Work that it does now for each nanosecond, uncrowded."""
         return self._speed * self._factor() * self.warmth() * self.spec.cores
@@ -213,6 +222,10 @@
         now = self.engine.now
         if now > self._at:
             self._virtual += (now - self._at) * self._rate
+            if self.rates:
+                kept = math.exp((self._at - now) / RATES_NS)
+                self._use = self.busy + (self._use - self.busy) * kept
+                self._flow *= kept
         self._at = now
 
     def _schedule(self) -> None:
@@ -258,4 +271,5 @@
         for job in done:
             job.over = True
             self.ran += 1
+            self._flow += 1e9 / RATES_NS
             job.done(job, True)
--- a/rosechute/lab/spec.py
+++ b/rosechute/lab/spec.py
@@ -53,6 +53,8 @@
     keys: Count = 1000
     skew: Annotated[float, Meta(ge=0, le=5)] = 1.0  # of the keys, by Zipf's law
     tenants: tuple[Positive, ...] = (1.0,)  # shares
+    heavy: Whole = 0  # the instance, by number, that gets `heaviest` times what the others get in the mean ...
+    heaviest: Positive | None = None  # ... those by chance half to one and a half times; evenly where absent
     population: Count = 1000  # distinct clients; a grey server may fail one in so many
 
 
@@ -75,7 +77,7 @@
     cache_factor: Share = 0.3  # work of a request whose key is there, of the usual
     connections: Whole = 0  # cap for each server; 0 for none
     handshake: Span | None = None  # work of one more connection; none by default
-    reports: Literal["none", "some"] = "none"  # whether answers tell how much a server holds
+    reports: Literal["none", "some", "rates"] = "none"  # whether answers tell what a server holds; and what it does
 
 
 class Instances(Struct, frozen=True, forbid_unknown_fields=True):
@@ -108,6 +110,8 @@
 
     lag: Span = Span(50 * MS)  # from a change to its place in the queue
     per_s: Positive = 10_000.0  # messages that it sends
+    late: Span | None = None  # so much later all that it says reaches ...
+    late_share: Share = 0.5  # ... this share of the instances, the last ones
     subscribe: bool = True  # whether instances have to ask; else all are told of everything
 
 
--- a/rosechute/lab/world.py
+++ b/rosechute/lab/world.py
@@ -20,6 +20,7 @@
 from rosechute.lab.trace import BEGIN, BLOCK, DRAINING, FELL, GAUGE, GONE, INSTANCE, SERVER, UP, Reader, Trace
 
 GAUGE_NS = 100_000_000
+COLUMNS = {"none": (), "some": ("inflight", "queue", "util"), "rates": ("inflight", "queue", "util", "qps")}
 TAIL_NS = 1_000_000_000  # after the last client's time: for what is still on its way
 
 
@@ -32,7 +33,7 @@
             for c in scenario.classes),
         zones=tuple(f"z{i}" for i in range(fleet.zones)), zone=zone, kinds=("m",), index=index, replicas=own.count,
         must_ask=scenario.discovery.subscribe, marks_retry=True, warm_keys=fleet.cache > 0, reports=fleet.reports,
-        columns=("inflight", "queue", "util") if fleet.reports != "none" else (),
+        columns=COLUMNS[fleet.reports],
         limits=Limits(
             max_attempts=own.attempts, second_copies=own.second_copies, retry_after=own.retry_after,
             max_retry_after_ns=1_200_000_000, conn_idle_ns=own.idle, connect_timeout_ns=own.connect_timeout,
@@ -72,7 +73,7 @@
             server._speed = fleet.speed * (1.0 + fleet.unlike * (2.0 * speeds.uniform() - 1.0))
         by_name = {server.name: server for server in self.servers}
         self.paths = Paths(scenario.network, streams.of("network"))
-        self.listing = Listing(engine, scenario.discovery, self._tell)
+        self.listing = Listing(engine, scenario.discovery, self._tell, scenario.instances.count)
         entries = [self._entry(server) for server in self.servers]
         self.listing.seed(entries)
         self.instances = self._hosts(streams, by_name)
