Take up changes of the list in place: one costs by itself, not by the list

Cause: every change rebuilt all that draws go over.

Change: a Roster keeps these orders; a server that comes, goes or changes is found by halves and shifted in or out. A line that says what is known costs a comparison. Sorting anew is left for a first list, another index, what was taken over, and where more than a quarter of the list changes at once. Servers that are gone are kept by themselves until nothing of them is out.

--- a/dunefield/memory.py
+++ b/dunefield/memory.py
@@ -70,7 +70,7 @@
         for key, value in values.items():
             setattr(server, key, value)
         balancer._refresh(server)
-    balancer._relist(now)
+    balancer.resort()
     return True
 
 
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -12,14 +12,13 @@
 import math
 import random
 from collections.abc import Mapping
-from zlib import crc32
 
 from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
     How, Probe, Reconfigure, Refuse, Response, Retract, Settings, Submit, Subscribe,
 )
-from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Server, pulse
+from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Roster, Server, pulse
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
 SILENCE_NS = 400_000_000  # the longest pause before a watch that fell silent is opened anew
@@ -38,6 +37,7 @@
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 OVERTAKEN = 2  # later calls that are answered first while one hangs: a single one may be chance
+ANEW = 4  # the list is sorted anew where more than one in so many servers is new, changed or gone: it costs as much
 RETRY_RATIO = 0.2  # further attempts earned by one request
 MOST_TOKENS = 2.0 / RETRY_RATIO
 # Looked up once: an enumeration's members cost ten times a name's look-up, and each event meets a dozen.
@@ -52,11 +52,12 @@
         self._random = random.Random(seed).random
         self._acts: list[Action] = []
         self._servers: dict[str, Server] = {}
-        self._up: list[Server] = []
+        self._roster = Roster()
+        self._up, self._subset, self._groups = self._roster.up, self._roster.subset, self._roster.groups
+        self._gone: dict[str, Server] = {}  # no longer listed, and not forgotten yet
+        self._anew = False  # this change of the list is so large that all is sorted anew
         self._room: list[Server] = []  # servers under budget; swap-removal keeps the order free of hashing
         self._live = 0  # servers up with k above 0
-        self._subset: list[Server] = []
-        self._groups: dict[int, list[Server]] = {}
         self._calls: dict[str, Call] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
@@ -70,7 +71,6 @@
         self._served = 0.0  # answers of late, likewise
         self._heard_at = self._served_at = self._begun_at = now
         self._reach = 1  # servers that draws go over
-        self._heaviest = 1.0  # the largest weight listed
         # Requests a second that servers can take, and that they do take: means of what their reports tell.
         self._told = self._flow = 0.0
         self._kinds: dict[int, float] = {}  # the same by kind
@@ -318,21 +318,36 @@
         else:
             self._watching = self._set.must_ask
             self._ask_pause = inv.must_ask_in_ns // 16
-        if event.scope != "INCREMENTAL":
-            listed = {entry.server for entry in event.entries}
-            for name, server in self._servers.items():
-                if name not in listed:
-                    server.up, server.gone = False, True
-                    self._refresh(server)
-        for entry in event.entries:
-            self._enter(now, entry)
-        self._relist(now)
+        entries, known = event.entries, self._servers
+        listed = {entry.server for entry in entries} if event.scope != "INCREMENTAL" else None
+        missing = [s for s in known.values() if s.name not in listed and not s.gone] if listed is not None else []
+        news = sum(self._news(entry) for entry in entries)
+        self._anew = ANEW * (news + len(missing)) > len(known) or self._roster.stale(self._set.index)
+        for server in missing:
+            self._leave(server)
+            server.up, server.gone = False, True
+            self._gone[server.name] = server
+            self._refresh(server)
+        if news:
+            for entry in entries:
+                self._enter(now, entry)
+        self._relist()
         self._pump(now)
 
+    def _news(self, entry: Entry) -> bool:
+        """Whether a line of the list says anything that is not known."""
+        server = self._servers.get(entry.server)
+        return server is None or server.gone or server.entry != entry
+
     def _enter(self, now: int, entry: Entry) -> None:
+        """Take up one line of the list; what it says already costs a comparison."""
+        if not self._news(entry):
+            return
         server = self._servers.get(entry.server)
         if server is None:
             server = self._servers[entry.server] = Server(entry)
+        self._leave(server)
+        server.entry = entry
         server.zone, server.cell, server.heft = entry.zone, entry.cell, entry.weight
         if server.started >= 0 and entry.started_ns > server.started:
             server.reset()  # a restart: verdicts on the old process say nothing of the new one
@@ -341,20 +356,33 @@
             server.started = entry.started_ns
             server.credit, server.credit_at = self._random(), now
         server.up, server.gone = entry.lifecycle == "up", entry.lifecycle == "removed"
+        if server.gone:
+            self._gone[server.name] = server
         self._refresh(server)
-
-    def _relist(self, now: int) -> None:
-        """Rebuild what is derived from the list. Happens on list news only, never for a request."""
+        if server.up and not self._anew:
+            self._roster.add(server)
+            self._live += server.k > 0
+
+    def _leave(self, server: Server) -> None:
+        """Take a server out of what is drawn from, unless all that is sorted anew."""
+        if server.up and not self._anew:
+            self._roster.discard(server)
+            self._live -= server.k > 0
+
+    def _relist(self) -> None:
+        """Finish a change of the list."""
         # Deploys bring new names for good: one that is gone is forgotten once nothing of it is out.
-        for server in [s for s in self._servers.values() if s.gone and not s.inflight and not s.askers]:
-            del self._servers[server.name]
-        self._up = sorted((s for s in self._servers.values() if s.up), key=lambda s: s.name)
-        self._groups = {}
-        for server in self._up:
-            self._groups.setdefault(-1 - server.zone, []).append(server)
-            self._groups.setdefault(server.cell, []).append(server)
-        self._heaviest = max((s.heft for s in self._up), default=1.0)
-        self._subset = sorted(self._up, key=lambda s: (crc32(f"{self._set.index}/{s.name}".encode()), s.name))
+        for server in [s for s in self._gone.values() if not s.gone or not (s.inflight or s.askers)]:
+            del self._gone[server.name]
+            if server.gone:
+                del self._servers[server.name]
+        if self._anew:
+            self.resort()
+        self._shut_until = 0
+
+    def resort(self) -> None:
+        """Sort all that draws go over anew: much of the list has changed, or of what is known of its servers."""
+        self._roster.rebuild(self._set.index, self._servers.values())
         self._live = sum(1 for s in self._up if s.k)
         self._shut_until = 0
 
@@ -571,7 +599,7 @@
                 return None, False, 0.0
             if server is best or server in call.tried:
                 continue
-            if server.heft < self._heaviest * self._random():
+            if server.heft < self._roster.heaviest * self._random():
                 continue  # Exception "listed weight": servers of unlike size are drawn by the weight listed
             if self._told and self._worth(server) < LARGE * self._told * self._random():
                 continue  # likewise by what they have told that they can take
--- a/dunefield/state.py
+++ b/dunefield/state.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from bisect import bisect_left
+from collections.abc import Iterable, Sequence
+from zlib import crc32
 
 from dunefield.interface import Bounds, Entry, Invariants, RequestClass
 
@@ -23,10 +25,13 @@
         "name", "zone", "kind", "cell", "heft", "use", "flow", "told_at", "fails", "up", "gone", "started",
         "inflight", "k", "figure", "trial", "backoff", "retry_at", "stretch", "seen", "peak", "used", "idle",
         "slot", "mute", "load", "mute_until", "heard", "struck", "erred", "askers", "credit", "credit_at",
+        "entry", "rank",
     )
 
     def __init__(self, entry: Entry) -> None:
         self.name = entry.server
+        self.entry: Entry | None = None  # its line as it was last taken up
+        self.rank = 0  # its place in the subset's order
         self.zone, self.cell, self.heft = entry.zone, entry.cell, entry.weight
         self.kind = entry.kind
         self.inflight = 0
@@ -77,6 +82,85 @@
         return int(self.k * self.figure) or 1
 
 
+def _rank(server: Server) -> tuple[int, str]:
+    return server.rank, server.name
+
+
+class Roster:
+    """The servers that are up, in every order that draws go over. One that comes or goes costs a search by halves
+    and a shift in each, however long the list is; and the orders are those that sorting anew would give."""
+
+    __slots__ = ("up", "subset", "groups", "weights", "heaviest", "_index", "_seed")
+
+    def __init__(self) -> None:
+        self.up: list[Server] = []  # by name
+        self.subset: list[Server] = []  # in this sidecar's own random order
+        self.groups: dict[int, list[Server]] = {}  # of each zone, as -1 - zone, and of each cell, by name
+        self.weights: dict[float, int] = {}  # how many have each
+        self.heaviest = 1.0  # the largest of them
+        self._index: int | None = None
+        self._seed = 0
+
+    def rebuild(self, index: int, servers: Iterable[Server]) -> None:
+        """Sort all of them anew, for the sidecar of this number."""
+        self._index, self._seed = index, crc32(f"{index}/".encode())
+        self.up[:] = sorted([s for s in servers if s.up], key=lambda s: s.name)
+        self.groups.clear()
+        self.weights.clear()
+        for server in self.up:
+            server.rank = crc32(server.name.encode(), self._seed)
+            self.groups.setdefault(-1 - server.zone, []).append(server)
+            self.groups.setdefault(server.cell, []).append(server)
+            self.weights[server.heft] = self.weights.get(server.heft, 0) + 1
+        self.subset[:] = sorted(self.up, key=_rank)
+        self.heaviest = max(self.weights, default=1.0)
+
+    def stale(self, index: int) -> bool:
+        """Whether the subset is in the order of a sidecar of another number."""
+        return index != self._index
+
+    def add(self, server: Server) -> None:
+        """One is up that was not."""
+        server.rank = crc32(server.name.encode(), self._seed)
+        self.up.insert(self._by_name(self.up, server.name), server)
+        self.subset.insert(bisect_left(self.subset, _rank(server), key=_rank), server)
+        for key in (-1 - server.zone, server.cell):
+            members = self.groups.setdefault(key, [])
+            members.insert(self._by_name(members, server.name), server)
+        self.weights[server.heft] = self.weights.get(server.heft, 0) + 1
+        if server.heft > self.heaviest or len(self.up) == 1:
+            self.heaviest = server.heft
+
+    def discard(self, server: Server) -> None:
+        """One that was up no longer is, or not as it was: it must be told before any of it changes."""
+        del self.up[self._by_name(self.up, server.name)]
+        del self.subset[bisect_left(self.subset, _rank(server), key=_rank)]
+        for key in (-1 - server.zone, server.cell):
+            members = self.groups[key]
+            del members[self._by_name(members, server.name)]
+            if not members:
+                del self.groups[key]
+        left = self.weights.get(server.heft, 0) - 1
+        if left > 0:
+            self.weights[server.heft] = left
+        else:
+            self.weights.pop(server.heft, None)
+            if server.heft == self.heaviest or not self.up:
+                self.heaviest = max(self.weights, default=1.0)
+
+    @staticmethod
+    def _by_name(servers: list[Server], name: str) -> int:
+        """The first place at which a server of this name may stand."""
+        low, high = 0, len(servers)
+        while low < high:
+            middle = (low + high) // 2
+            if servers[middle].name < name:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+
 class Classes:
     """The request classes under numbers of the module's own, which stay when settings change: what was learnt
     of a class is kept by its number. One that is dropped keeps its number, should it come back."""
