--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -17,7 +17,7 @@
 from backend import play as over_sockets
 from backend import sidecar as real
 from peers import until
-from virtual import HOST, HOW, Loop, Place, by, config, play, sidecar, told
+from virtual import HOST, HOW, Busy, Loop, Place, by, config, play, sidecar, told
 
 from dunefield.interface import SECOND, TOLD_NS
 from hollyport.core.address import Address
@@ -179,6 +179,22 @@
     assert took < TOLD_S
 
 
+@pytest.mark.parametrize("patience", [1.0, 5.0])
+def test_a_crowd_gets_through_where_calls_are_handled_in_turn(patience):
+    """200 callers at 100 calls a second, of which their watches need 80; with the longer patience discovery works on
+    for callers that have given up."""
+    async def scene(loop: Loop) -> None:
+        place = Busy(loop, 1, 100.0, patience)
+        made = [sidecar(loop, config(1, "ask", seed)) for seed in range(200)]
+        assert await by(loop, 20, lambda: len(place.watching) > 180)
+        place.fail("refused")
+        await asyncio.sleep(8)
+        place.change()
+        place.mood = lambda call: "up"
+        assert await by(loop, loop.time() + TOLD_S, lambda: all(map(told, made)))
+    play(scene)
+
+
 # --- over sockets: the two worst
 
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -186,6 +186,25 @@
         wire.tell(200, json.dumps(listing(*lines, index=self.index, snapshot=after < 0)).encode())
 
 
+class Busy(Place):
+    """Handles calls in turn, `per_s` of them, those that were given up as well; one that waited too long gets 503."""
+
+    def __init__(self, loop: Loop, port: int, per_s: float, patience_s: float) -> None:
+        super().__init__(loop, port)
+        self._per_s, self._patience_s, self._free_at = per_s, patience_s, 0.0
+
+    async def _answer(self, wire: Wire, asked: dict[str, list[str]]) -> None:
+        now = self.loop.time()
+        start = max(now, self._free_at)
+        if start - now > self._patience_s:
+            await asyncio.sleep(self._patience_s)
+            wire.tell(503)
+            return
+        self._free_at = start + 1 / self._per_s
+        await asyncio.sleep(self._free_at - now)
+        await super()._answer(wire, asked)
+
+
 def config(port: int, mode: str, seed: int = 1, **invariants: int) -> Config:
     """`mode` is one of HOW."""
     raw = settings(discovery=HOW[mode], invariants=invariants)
