--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -12,14 +12,14 @@
 import math
 import random
 from collections.abc import Mapping
-from zlib import crc32
 
+from dunefield.backoff import ANSWER_NS, APART_NS, LONGEST_NS, Backoff
 from dunefield.crowding import CROWDED, Crowding
 from dunefield.interface import (
     NEVER_RAN, Accept, Action, Alarm, Begun, CloseIdle, Defer, Directory, Echo, Entry, Event, Fail, Hangup,
     How, Probe, Reconfigure, Refuse, Response, Retract, Settings, Submit, Subscribe,
 )
-from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Server, pulse
+from dunefield.state import FIGURE, GAIN, Attempt, Call, Classes, Roster, Server, pulse
 
 UNMUTED = (0, 0)  # what stands for a class that was not left unanswered
 SILENCE_NS = 400_000_000  # the longest pause before a watch that fell silent is opened anew
@@ -38,6 +38,7 @@
 SLOW = 1.5  # an answer is slow from so many times what it takes uncrowded: servers that hold more may jam
 HOPEFUL = 0.8  # part of the time left that a call may be expected to use, less the crowding, as times scatter
 OVERTAKEN = 2  # later calls that are answered first while one hangs: a single one may be chance
+ANEW = 4  # the list is sorted anew where more than one in so many servers is new, changed or gone: it costs as much
 RETRY_RATIO = 0.2  # further attempts earned by one request
 MOST_TOKENS = 2.0 / RETRY_RATIO
 # Looked up once: an enumeration's members cost ten times a name's look-up, and each event meets a dozen.
@@ -52,11 +53,12 @@
         self._random = random.Random(seed).random
         self._acts: list[Action] = []
         self._servers: dict[str, Server] = {}
-        self._up: list[Server] = []
+        self._roster = Roster()
+        self._up, self._subset, self._groups = self._roster.up, self._roster.subset, self._roster.groups
+        self._gone: dict[str, Server] = {}  # no longer listed, and not forgotten yet
+        self._anew = False  # this change of the list is so large that all is sorted anew
         self._room: list[Server] = []  # servers under budget; swap-removal keeps the order free of hashing
         self._live = 0  # servers up with k above 0
-        self._subset: list[Server] = []
-        self._groups: dict[int, list[Server]] = {}
         self._calls: dict[str, Call] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._held: dict[str, Call] = {}  # in arrival order: full everywhere, or echoes due
@@ -70,9 +72,9 @@
         self._served = 0.0  # answers of late, likewise
         self._heard_at = self._served_at = self._begun_at = now
         self._reach = 1  # servers that draws go over
-        self._heaviest = 1.0  # the largest weight listed
         # Requests a second that servers can take, and that they do take: means of what their reports tell.
         self._told = self._flow = 0.0
+        self._flow_at = now
         self._kinds: dict[int, float] = {}  # the same by kind
         self._idle_max = settings.limits.conn_idle_ns  # longest idle time after which a connection is used
         self._idle_doubt = 0  # until when a shorter one than the settings' is believed
@@ -93,7 +95,7 @@
         self._extra += [(c.aim_ns / 4, 0, now) for c in classes[len(self._extra):]]
         # How often held calls are looked at.
         self._pace = max(1, min(c.aim_ns for c in (*settings.classes, classes[self._table.unknown])) // 16)
-        self._ask_pause = settings.invariants.must_ask_in_ns // 16
+        self._backoff = Backoff(settings.invariants.must_ask_in_ns // 8, LONGEST_NS, self._random)
         dear = PROBES * settings.prices.get("probe", 0.0) > PROBE_SPEND
         self._probing = settings.reports != "none" and settings.limits.may_probe and not dear
         # How many servers a silent sidecar draws from: all where probes tell of each of them.
@@ -127,8 +129,8 @@
         elif isinstance(event, Reconfigure):
             self._adopt(now, event.settings)
             self._crowding.adopt(self._classes, self._horizon)
-            if self._set.must_ask and not self._watching:
-                self._ask_later(now)
+            if self._set.must_ask and not self._watching and self._asked_at <= now:
+                self._ask_in(now, 1)  # one that is due is not put off: settings may come again and again
             self._pump(now)
         return self._acts
 
@@ -176,10 +178,7 @@
 
     def _on_alarm(self, now: int, event: Alarm) -> None:
         if self._set.must_ask and not self._watching and now >= self._asked_at:
-            # Should no answer ever come, ask again: silence is no excuse for an old list.
-            pause = self._set.invariants.must_ask_in_ns // 2
-            self._asked_at = now + pause
-            self._acts += [Subscribe(), Defer(pause, 0)]
+            self._ask_now(now)
         if event.tag == TICK:
             # Told by its tag and not by the clock: another event of the same instant must not swallow the
             # tick, or the held calls whose time is up would be lost.
@@ -297,42 +296,64 @@
     # --- the server list ------------------------------------------------------------------------
 
     def _on_directory(self, now: int, event: Directory) -> None:
-        inv = self._set.invariants
         if event.scope == "SILENT":
             # What it missed counts soon, and of discovery it says nothing: ask at once, but not all together.
             self._watching = False
-            pause = 1 + int(min(SILENCE_NS, self._ask_pause) * self._random())
-            self._asked_at = now + pause
-            self._acts.append(Defer(pause, 0))
+            pause = min(SILENCE_NS, self._set.invariants.must_ask_in_ns // 16)
+            self._ask_in(now, 1 + int(pause * self._random()))
             return
         if event.scope == "FAILED":
-            # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out.
             self._watching = False
-            self._ask_pause = min(self._ask_pause * 2, inv.must_ask_in_ns)
-            self._ask_later(now)
+            self._ask_in(now, self._backoff.failed(event.took_ns))
+            return
+        if event.scope == "MOVED":
+            # How the one before has failed says nothing of this one, and a timer from then must not ask it twice.
+            self._watching = False
+            self._backoff.answered()
+            if self._set.must_ask:
+                self._ask_now(now)
             return
         if event.scope == "SAVED":
             # The first chance to act: a timer asked for before any event would be lost, and with it the list.
             if self._set.must_ask:
-                self._ask_later(now)
+                self._ask_in(now, 1 + int(self._set.invariants.must_ask_in_ns // 8 * self._random()))
         else:
             self._watching = self._set.must_ask
-            self._ask_pause = inv.must_ask_in_ns // 16
-        if event.scope != "INCREMENTAL":
-            listed = {entry.server for entry in event.entries}
-            for name, server in self._servers.items():
-                if name not in listed:
-                    server.up, server.gone = False, True
-                    self._refresh(server)
-        for entry in event.entries:
-            self._enter(now, entry)
-        self._relist(now)
+            self._backoff.answered()
+        self._take_up(now, event)
         self._pump(now)
 
+    def _take_up(self, now: int, event: Directory) -> None:
+        """Take up a list or a change of it, at a cost by what is new in it. Nothing is drawn until it is done."""
+        entries, known = event.entries, self._servers
+        listed = {entry.server for entry in entries} if event.scope != "INCREMENTAL" else None
+        missing = [s for s in known.values() if s.name not in listed and not s.gone] if listed is not None else []
+        news = sum(self._news(entry) for entry in entries)
+        self._anew = ANEW * (news + len(missing)) > len(known) or self._roster.stale(self._set.index)
+        for server in missing:
+            self._leave(server)
+            server.up, server.gone = False, True
+            self._gone[server.name] = server
+            self._refresh(server)
+        if news:
+            for entry in entries:
+                self._enter(now, entry)
+        self._relist()
+
+    def _news(self, entry: Entry) -> bool:
+        """Whether a line of the list says anything that is not known."""
+        server = self._servers.get(entry.server)
+        return server is None or server.gone or server.entry != entry
+
     def _enter(self, now: int, entry: Entry) -> None:
+        """Take up one line of the list; what it says already costs a comparison."""
+        if not self._news(entry):
+            return
         server = self._servers.get(entry.server)
         if server is None:
             server = self._servers[entry.server] = Server(entry)
+        self._leave(server)
+        server.entry = entry
         server.zone, server.cell, server.heft = entry.zone, entry.cell, entry.weight
         if server.started >= 0 and entry.started_ns > server.started:
             server.reset()  # a restart: verdicts on the old process say nothing of the new one
@@ -341,28 +362,46 @@
             server.started = entry.started_ns
             server.credit, server.credit_at = self._random(), now
         server.up, server.gone = entry.lifecycle == "up", entry.lifecycle == "removed"
+        if server.gone:
+            self._gone[server.name] = server
         self._refresh(server)
-
-    def _relist(self, now: int) -> None:
-        """Rebuild what is derived from the list. Happens on list news only, never for a request."""
+        if server.up and not self._anew:
+            self._roster.add(server)
+            self._live += server.k > 0
+
+    def _leave(self, server: Server) -> None:
+        """Take a server out of what is drawn from, unless all that is sorted anew."""
+        if server.up and not self._anew:
+            self._roster.discard(server)
+            self._live -= server.k > 0
+
+    def _relist(self) -> None:
+        """Finish a change of the list."""
         # Deploys bring new names for good: one that is gone is forgotten once nothing of it is out.
-        for server in [s for s in self._servers.values() if s.gone and not s.inflight and not s.askers]:
-            del self._servers[server.name]
-        self._up = sorted((s for s in self._servers.values() if s.up), key=lambda s: s.name)
-        self._groups = {}
-        for server in self._up:
-            self._groups.setdefault(-1 - server.zone, []).append(server)
-            self._groups.setdefault(server.cell, []).append(server)
-        self._heaviest = max((s.heft for s in self._up), default=1.0)
-        self._subset = sorted(self._up, key=lambda s: (crc32(f"{self._set.index}/{s.name}".encode()), s.name))
+        for server in [s for s in self._gone.values() if not s.gone or not (s.inflight or s.askers)]:
+            del self._gone[server.name]
+            if server.gone:
+                del self._servers[server.name]
+        if self._anew:
+            self.resort()
+        self._shut_until = 0
+
+    def resort(self) -> None:
+        """Sort all that draws go over anew: much of the list has changed, or of what is known of its servers."""
+        self._roster.rebuild(self._set.index, self._servers.values())
         self._live = sum(1 for s in self._up if s.k)
         self._shut_until = 0
 
-    def _ask_later(self, now: int) -> None:
-        pause = 1 + int(self._ask_pause * 2 * self._random())
+    def _ask_in(self, now: int, pause: int) -> None:
         self._asked_at = now + pause
         self._acts.append(Defer(pause, 0))
 
+    def _ask_now(self, now: int) -> None:
+        """Ask, and ask again should nothing ever come: silence is no excuse for an old list. Not while the call may
+        still be answered, as a second one takes its place."""
+        self._acts.append(Subscribe())
+        self._ask_in(now, max(self._set.invariants.must_ask_in_ns // 2, ANSWER_NS + APART_NS))
+
     def _refresh(self, server: Server) -> None:
         """Keep the list of servers under budget true after any change to a server."""
         fits = server.up and server.inflight < server.budget
@@ -409,7 +448,11 @@
         server.flow += (flow - server.flow) * gain
         told = server.flow / server.use
         gain = GAIN / 8 if self._told else 1.0
-        self._flow += (flow - self._flow) * gain
+        # Over the time that own answers are counted over: a cold server's credit goes by the one over the other,
+        # and a burst that moves own answers alone would multiply it.
+        gap = now - self._flow_at
+        self._flow += (flow - self._flow) * max(gain, gap / (gap + self._horizon))
+        self._flow_at = now
         self._told += (told - self._told) * gain
         mean = self._kinds.get(server.kind, told)
         self._kinds[server.kind] = mean + (told - mean) * GAIN / 8
@@ -571,7 +614,7 @@
                 return None, False, 0.0
             if server is best or server in call.tried:
                 continue
-            if server.heft < self._heaviest * self._random():
+            if server.heft < self._roster.heaviest * self._random():
                 continue  # Exception "listed weight": servers of unlike size are drawn by the weight listed
             if self._told and self._worth(server) < LARGE * self._told * self._random():
                 continue  # likewise by what they have told that they can take
