--- a/tests/test_races_ends.py
+++ b/tests/test_races_ends.py
@@ -261,7 +261,7 @@
                 upstream = world.sidecar._upstream
                 await until(lambda: not upstream._dialling)
                 upstream.close_idle("s1")
-                await until(lambda: not upstream._open)
+                await until(lambda: not upstream._open and not server.tasks)
                 gc.collect()
                 return sys.getallocatedblocks()
 
