--- a/tests/test_races_ends.py
+++ b/tests/test_races_ends.py
@@ -249,7 +249,8 @@
 def test_a_request_leaves_nothing_behind_in_memory():
     """Found on the long day: compiled, each answer left a bytes object behind, 9 MB in 15 minutes."""
     async def scene():
-        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+        # So few descriptors that none is opened ahead: a connection more is no part of what a request leaves behind.
+        async with Server(ok) as server, sidecar(line("s1", server.port), sockets=36) as world:
             client = await world.client()
 
             async def ask(number: int) -> int:
@@ -257,11 +258,6 @@
                     assert (await client.ask())[0] == 200
                 server.calls.clear()
                 world.sidecar.core._ids.clear()  # they stay for twice a deadline
-                # Connections are held in step with the rate of calls, and are no part of what a request leaves.
-                upstream = world.sidecar._upstream
-                await until(lambda: not upstream._dialling)
-                upstream.close_idle("s1")
-                await until(lambda: not upstream._open and not server.tasks)
                 gc.collect()
                 return sys.getallocatedblocks()
 
