Ask for the client's end right before an attempt begins

Cause: the end of a client is an event of the loop's. In a turn that takes long (0.15 s in the tests) timers and other events go before it, and what they bring about begins the attempt: a server's answer that frees a place, a load report, the end of the attempt before, the rest of a connection, a second copy. A connection in the listen queue, or bytes read ahead, pass for news however old they are; the look at clients that are not read from comes each 0.05 s at best.

Change: `Try.wanted`, asked in `Exchange._write` before the first byte, polls the client's socket where the request has waited for 0.02 s or the last two turns were late (`Core.behind`); likewise for a connection's first request and before reading on after a pause. One poll looks at all that are not read from.

--- a/hollyport/core/calls.py
+++ b/hollyport/core/calls.py
@@ -48,6 +48,8 @@
 BEAT_S = 0.02  # how often the loop shows that it runs
 STALL_S = 0.1  # from when on a standstill is worth a line in the log
 ENDED = {Ending.SERVED: "served", Ending.REFUSED: "refused", Ending.GONE: "gone"}  # all else is "failed"
+FRESH_S = 0.02  # a request that was read so lately has a client, unless the loop is behind
+BEHIND_S = 0.03  # how much late the last two beats may be: past that, what has come is not known yet
 CONNECTING_S = 2.0  # how long a request whose body is still coming in may wait for a connection
 # Looked up once: an enumeration's members cost ten times a name's look-up.
 OK, TIMEOUT, MOOT, SERVED = How.OK, How.TIMEOUT, How.MOOT, Ending.SERVED
@@ -99,6 +101,16 @@
         self._written = sent  # where the body comes apart, the server begins only with its last byte
         self._abandon = abandon
 
+    def wanted(self) -> bool:
+        """Protects servers from requests whose client has left: its end may lie behind other events, or behind
+        bytes that are not read yet. Asked of the kernel only where the request has waited, or the loop is behind."""
+        call, core = self._call, self._core
+        if call.over:
+            return False
+        if core.loop.time() - call.request.came < FRESH_S and not core.behind():
+            return True
+        return not call.request.left()
+
     def wrote(self) -> None:
         if self._call.request.stream is not None:
             self._written = self._core.clock()
@@ -175,6 +187,7 @@
         self._inbox: deque[Event] = deque()
         self._handling = False
         self._beat_due = 0.0
+        self._late = 0.0  # how late the last beat was
         self._beat()
 
     def join(self, module: Balancer, backend: Backend[Q, R], directions: Directions) -> None:
@@ -349,12 +362,17 @@
     # --- the loop's beat
 
     def _beat(self) -> None:
-        stalled = self._stalled()
+        self._late = stalled = self._stalled()
         if stalled > STALL_S:
             LOG.warning("loop.stood_still", seconds=round(stalled, 3))
         self._beat_due = self._monotonic() + BEAT_S
         self.loop.call_later(BEAT_S, self._beat)
 
+    def behind(self) -> bool:
+        """Whether more than some 0.07 s may lie between what has happened and what was read of it: a turn that
+        takes long shows in the beat that it delays, and what came meanwhile is read in the next."""
+        return self._late + self._stalled() > BEHIND_S
+
     def _stalled(self) -> float:
         """For how long this process may have stood still: what comes in now may have come that much earlier.
 
--- a/hollyport/core/ports.py
+++ b/hollyport/core/ports.py
@@ -57,6 +57,9 @@
     came: float  # when, by the loop's clock
     stream: Body | None  # a body that goes out as it comes in
 
+    def left(self) -> bool:
+        """Look whether whoever asked has left, where that may not have shown yet; `Core.hangup` is called if so."""
+
     def answer(self, ending: Ending, reply: R_contra | None = None, hold_off_ns: int = 0) -> None:
         """Give the final answer. A second one is ignored, as is one to a client that has left.
 
@@ -89,6 +92,9 @@
 class Watch(Protocol[R_contra]):
     """The core's end of one attempt."""
 
+    def wanted(self) -> bool:
+        """Whether somebody still waits for this; to be asked right before the first byte is written."""
+
     def wrote(self) -> None:
         """The last byte of the request is written."""
 
--- a/hollyport/http1/backend.py
+++ b/hollyport/http1/backend.py
@@ -37,7 +37,7 @@
 
         return self._upstream.exchange(
             server, lambda: wire(request, watch.wait_s()), limit_s, ended,
-            Flow(request.stream, begin, watch.wrote, watch.rested, watch.left_s),
+            Flow(request.stream, begin, watch.wanted, watch.wrote, watch.rested, watch.left_s),
         )
 
     def probe(self, server: str, limit_s: float, echoed: Echoed) -> Attempt | None:
--- a/hollyport/http1/client.py
+++ b/hollyport/http1/client.py
@@ -187,8 +187,8 @@
 
     def _read_on(self) -> None:
         self.heard = self._loop.time()  # until now it was not the client that was slow
-        if self._transport is None or self._transport.is_closing():
-            return
+        if self._transport is None or self.look():
+            return  # what was read ahead would pass for news
         rest, self._rest = self._rest, b""
         self._paused = False
         if rest:
@@ -375,7 +375,7 @@
             message.reply(404)
         elif message.method not in (b"GET", b"POST"):
             message.reply(405, headers=[(b"Allow", b"GET, POST")])
-        else:
+        elif self._asked or not self.look():  # else it had left before it was let in, or read from
             self._asked = True
             try:
                 self._listener.service.request(message)
@@ -532,23 +532,32 @@
 
         Protects a request that has come and was not read yet: closing would cut it off.
         """
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        descriptor = self.descriptor()
+        if descriptor < 0:
             return True
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(descriptor, select.POLLIN)
         return not poll.poll(0)
 
-    def look(self) -> None:
-        """See whether a client that is not read from has left, by a close or a reset behind what it sent."""
+    def descriptor(self) -> int:
+        """What to ask the kernel by; -1 where it is closed, or is about to be."""
         transport = self._transport
         if transport is None or transport.is_closing():
-            return
+            return -1
+        return int(transport.get_extra_info("socket").fileno())
+
+    def look(self) -> bool:
+        """See whether the client has left, by a close or a reset behind what it sent; what it asked for ends then."""
+        descriptor = self.descriptor()
+        if descriptor < 0:
+            return True
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)  # the others always count
-        if poll.poll(0):
-            self._gone()
-            transport.abort()
+        poll.register(descriptor, select.POLLRDHUP)  # the others always count
+        if not poll.poll(0):
+            return False
+        self._gone()
+        self.abort()
+        return True
 
     def unsent(self) -> int:
         """Bytes of answers that the kernel has not taken yet."""
--- a/hollyport/http1/listener.py
+++ b/hollyport/http1/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 
 from hollyport.core.address import Address
@@ -246,10 +247,20 @@
             self._looking = True
             self._loop.call_later(LOOK_S, self._look)
 
+    def look(self) -> None:
+        """End what those asked for that are not read from and have left: one call to the kernel for all of them."""
+        poll, watched = select.poll(), {}
+        for connection in self.paused:
+            descriptor = connection.descriptor()
+            if descriptor >= 0:
+                poll.register(descriptor, select.POLLRDHUP)
+                watched[descriptor] = connection
+        for descriptor, _ in poll.poll(0):
+            watched[descriptor].look()
+
     def _look(self) -> None:
         assert self._loop is not None
-        for connection in list(self.paused):
-            connection.look()
+        self.look()
         self._looking = bool(self.paused)
         if self._looking:
             self._loop.call_later(LOOK_S, self._look)
--- a/hollyport/http1/message.py
+++ b/hollyport/http1/message.py
@@ -32,6 +32,8 @@
 class Way(Protocol):
     """The connection that a request came by."""
 
+    def look(self) -> bool: ...
+
     def answer(self, message: Message, status: int, body: bytes, headers: Headers) -> None: ...
 
     def begin_answer(
@@ -81,6 +83,10 @@
 
     # --- the core's Front
 
+    def left(self) -> bool:
+        """Look whether the client has left."""
+        return self.connection.look()
+
     def answer(self, ending: Ending, reply: Reply | None = None, hold_off_ns: int = 0) -> None:
         """Send the final answer. A second one is ignored, as is one to a client that has left."""
         if reply is not None:
--- a/hollyport/http1/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -41,6 +41,7 @@
 
     body: Body | None  # the request's, where it is not part of what is made
     begin: Begin  # asked where a long answer goes
+    wanted: Callable[[], bool]  # asked before the first byte: does somebody still wait?
     wrote: Wrote  # told once the last byte is written
     rested: Callable[[], None]  # told where it has waited for its connection to have rested
     left: Callable[[], float]  # seconds until the exchange is given up, once all is written
@@ -152,8 +153,12 @@
     def _write(self, connection: Connection) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._connection = connection
         flow = self._flow
+        if flow is not None and not flow.wanted():
+            self._upstream.release(self._target, connection)
+            self._end(How.MOOT)
+            return
+        self._connection = connection
         if flow is None:
             connection.send(self._make(), self._replied)
         else:
