--- a/hollyport/http1/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -47,6 +47,7 @@
 
     body: Body | None  # the request's, where it is not part of what is made
     begin: Begin  # asked where a long answer goes
+    wanted: Callable[[], bool]  # asked before the first byte: does somebody still wait?
     wrote: Wrote  # told once the last byte is written
     rested: Callable[[], None]  # told where it has waited for a connection that has rested
     left: Callable[[], float]  # seconds until the exchange is given up, once all is written
@@ -163,9 +164,13 @@
     def _write(self, connection: Connection) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        flow = self._flow
+        if flow is not None and not flow.wanted():
+            self._upstream.give_back(self._target, connection)
+            self._end(How.MOOT)
+            return
         self._connection = connection
         self._since = self._loop.time()
-        flow = self._flow
         if flow is None:
             connection.send(self._make(), self._replied)
         else:
@@ -395,9 +400,9 @@
             connection.close()
 
     def give_back(self, target: Target, connection: Connection) -> None:
-        """Keep a connection that was taken and not used: it goes on resting where it was."""
-        if not target.up or not connection.reusable:
-            connection.close()
+        """Keep a connection that was taken and not used: it goes on resting where it was. A new one begins to."""
+        if not connection.idle_since or not target.up or not connection.reusable:
+            self.keep(target, connection)
             return
         at = len(target.idle)
         while at > 0 and target.idle[at - 1].idle_since > connection.idle_since:
