--- a/hollyport/http1/pool.py
+++ b/hollyport/http1/pool.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 MEMORY_S = 1.0  # over how long the rate of calls is a mean
-LEAST_S = 1.0  # and at least, where there has been less: a burst at the start is no rate
+LEAST_S = 0.5  # and at least, where there has been less: a burst at the start is no rate
 BUSY_GAIN = 1.0 / 16.0  # weight of one call's time against what was known
 FEW = 3.0
 LAPSE = 4.0  # after so many times that without a call the mean begins anew
--- a/hollyport/http1/upstream.py
+++ b/hollyport/http1/upstream.py
@@ -24,11 +24,12 @@
 class Target:
     """One process of one server, and the connections to it."""
 
-    __slots__ = ("address", "started_ns", "up", "idle", "held", "dialling", "ahead", "demand")
+    __slots__ = ("address", "started_ns", "up", "idle", "rested", "held", "dialling", "ahead", "demand")
 
     def __init__(self, address: Address, started_ns: int, up: bool) -> None:
         self.address, self.started_ns, self.up = address, started_ns, up
         self.idle: list[Connection] = []  # the last used at the end: the rest may grow old
+        self.rested = 0  # how many of those at the front had rested at the last look: where the next one begins
         self.held = 0  # connections that are open, idle or not
         self.dialling = 0  # and those that are coming up
         self.ahead: asyncio.Task[None] | None = None  # opens one that no call has asked for
@@ -368,12 +369,16 @@
         target.demand.called(now)
         idle = target.idle
         while idle:
-            at = len(idle) - 1
-            while at > 0 and idle[at].idle_since + REST_S > now:
-                at -= 1
+            # In order of when they began to rest; looked at anew, as any may have gone since.
+            rested, size = target.rested, len(idle)
+            while rested < size and idle[rested].idle_since + REST_S <= now:
+                rested += 1
+            while rested > 0 and (rested > size or idle[rested - 1].idle_since + REST_S > now):
+                rested -= 1
+            target.rested = at = max(0, rested - 1)
             connection = idle.pop(at)
             if connection.idle_since > now - self._idle_s and connection.silent():
-                if at == 0 or idle[at - 1].idle_since + REST_S > now:
+                if not at:
                     self._open_ahead(target, now)
                 return connection
             connection.close()
