Take no few calls in flight for a jam where they would be answered in good time all the same

Cause: calls in flight beyond Little's law and chance are shed. Change: no more than one server answers in a twentieth of the aim, one after another, are a jam by their number. Where answers take over a fortieth of the aim nothing changes; draws are the same.

--- a/dunefield/crowding.py
+++ b/dunefield/crowding.py
@@ -14,6 +14,7 @@
 DOUBT = 4.0  # own answers that count for one finding: work varies, and two slow ones in a row are chance
 SHORT = 0.2  # part of the aim that answers take where a request that waits counts for one
 PAUSE = 16  # deadlines without an answer after which the level is old; where nearly all are shed, few come
+SOON = 0.05  # part of the aim within which calls in flight, answered one after another, are no jam
 SLACK = 3.0  # how much more may wait at most where they take less: servers that hold many for long jam
 
 
@@ -72,12 +73,15 @@
         """The level, less as it gets old: where nobody calls, nothing tells that the crowd has gone."""
         return self.level * self._horizon / (self._horizon + now - self._at)
 
-    def sheds(self, now: int, number: int, out: int, flow: float, draw: float) -> bool:
+    def sheds(self, now: int, number: int, out: int, flow: float, whole: float, draw: float) -> bool:
         """Whether a call of this class must not reach the fleet. `flow` is how many calls are in flight by
-        Little's law while nothing waits, `out` how many are; `draw` is a random number."""
+        Little's law while nothing waits, `out` how many are; one server alone would answer `whole` of them, one
+        after another, within the aim; `draw` is a random number."""
         crowd = self.faded(now)
         # Calls in flight tell of a jam before its answers come: more than Little's law and chance explain.
-        usual = self._slack * (2.0 + flow + 2.0 * math.sqrt(flow))
+        # Never of so few that they would be answered in good time all the same: at the start, where answers are
+        # not known to be short, and after a standstill of our own, which lets many in at once.
+        usual = max(self._slack * (2.0 + flow + 2.0 * math.sqrt(flow)), SOON * whole)
         crowd = max(crowd, 2.0 * math.log((1 + out) / usual))
         shed = (crowd - CROWDED) / (1.0 - CROWDED)
         if shed <= 0.0:
--- a/dunefield/rules.py
+++ b/dunefield/rules.py
@@ -172,7 +172,8 @@
         """Exception "shedding": the fleet answers slower than when uncrowded, so part of the calls must not
         reach it, those of least worth first. Each sidecar draws for itself, so the fleet sheds smoothly."""
         flow = (self._served + self._rate) / 2 * size
-        return self._crowding.sheds(now, number, len(self._attempts), flow, self._random())
+        whole = self._classes[number].aim_ns / size
+        return self._crowding.sheds(now, number, len(self._attempts), flow, whole, self._random())
 
     def _on_alarm(self, now: int, event: Alarm) -> None:
         if self._set.must_ask and not self._watching and now >= self._asked_at:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -67,6 +67,48 @@
     assert refused <= 3
 
 
+def refused_of(b, rate, stands_still, lag_ns=MS, seconds=2.0, seed=1):
+    """Offer a Poisson stream of calls, each answered after `lag_ns`; what comes while this process stands still,
+    from one second to another, is taken at the end of that. How many were refused."""
+    draw, at, waiting, refused = random.Random(seed), 0.0, [], 0
+    begin, end = stands_still
+
+    def answer(until):
+        while waiting and waiting[0][0] <= until:
+            due, send = waiting.pop(0)
+            b.handle(due, outcome(send, How.OK, lag_ns))
+
+    for number in range(int(rate * seconds)):
+        at += draw.expovariate(rate)
+        now = int((end if begin <= at < end else at) * SECOND)
+        answer(now)
+        sends = only(b.handle(now, accept(f"c{number}")), Submit)
+        waiting += [(now + lag_ns, send) for send in sends]
+        refused += not sends
+    answer(int((at + 1.0) * SECOND))
+    return refused
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(("rate", "stands_still"), [
+    (264, (0.0, 0.0)), (264, (0.01, 0.03)), (1000, (0.0, 0.0)), (1000, (0.004, 0.01)),
+])
+def test_few_short_calls_at_once_are_no_jam_at_the_start_or_after_a_standstill(rate, stands_still, seed):
+    """Found: 2 of 1,600 calls were refused in the first second at 264/s and 74 of 3,000 at 1,000/s, by idle servers:
+    three in flight were a jam until some twenty answers had told how short they are."""
+    assert refused_of(balancer(servers=4), rate, stands_still, seed=seed) == 0
+
+
+def test_calls_that_are_not_answered_are_a_jam_all_the_same():
+    """Many more in flight than a server answers in a good part of the aim: before any time-out tells."""
+    b = balancer(servers=40)
+    assert serve(b, 0, 60, MS)[0] == 0
+    refused = 0
+    for number in range(400):
+        refused += not only(b.handle(3 * SECOND + number * MS, accept(f"mute{number}")), Submit)
+    assert refused > 100
+
+
 def test_a_jam_from_the_start_is_not_taken_for_normal():
     b = balancer(servers=4)
     _, now = serve(b, 0, 4, 20 * MS)
