Leave descriptors to discovery, operators, servers and a takeover

Idle clients may fill what clients may hold while discovery is down; all others still need theirs.

Cause, found on reading and by a probe: (1) a connection that gives way is free with the loop's next turn, but up to 64 more were accepted before: 25 over the share in the probe. (2) Where an accept failed with EMFILE, accepting paused, but clients took each descriptor that became free, and libuv closed operators' calls unread. (3) A process granted fewer descriptors than configured filled them with clients. Ruled out by the tests: a spinning loop, a lost listener, an old list, a cold takeover.

Change: what was ended counts until it is closed, four at a time; after EMFILE clients keep to 8 fewer for a second, no less than half; the grant of the machine counts where it is smaller.

--- a/hollyport/http1/listener.py
+++ b/hollyport/http1/listener.py
@@ -9,12 +9,16 @@
 
 from hollyport.core.address import Address
 from hollyport.core.flow import RECEIVE, Budget
+from hollyport.core.log import LOG
 from hollyport.http1.client import ClientConnection, Queue, Service
 
 BACKLOG = 1024
 BATCH = 64  # connections taken in one go, so that a flood does not keep the loop from its other work
 SWEEP_S = 0.2
 PAUSE_S = 0.02  # between looks at the listen queue while there is no room
+OVERDRAFT = 4  # connections that were ended to make room, and whose descriptors are yet to be free
+SPARE = 8  # descriptors that are left to others once there was none for a connection that came
+RELAX_S = 1.0  # and for how long; a descriptor that is asked for in vain is asked for again by then
 SILENT_S = 2.1  # how long a connection may say nothing; 2 s are the promise
 KEEP_S = 30.0  # how long one is kept between requests
 LINGER_S = 2.0  # how long what a client still sends is read after its connection's last answer
@@ -38,8 +42,11 @@
     def __init__(self, service: Service, most: int, crowd: int, budget: Budget) -> None:
         self.service = service
         self.budget = budget
-        self.most = most
+        self.most = self._share = most
         self._crowd = crowd
+        self._ending: set[ClientConnection] = set()  # to make room
+        self._pausing = False
+        self._relaxing: asyncio.TimerHandle | None = None
         self.stopping = False
         self.draining = False
         self.accepting = False
@@ -84,7 +91,7 @@
 
     def resize(self, most: int, crowd: int) -> None:
         """Another share of the descriptors: connections beyond it go, as far as they may."""
-        self.most, self._crowd = most, crowd
+        self.most, self._share, self._crowd = most, most, crowd
         while self._loop is not None and len(self.connections) > most and self._make_room():
             pass
 
@@ -118,7 +125,7 @@
     def close(self) -> None:
         """Listen no more, and close what is between requests. What the machine has accepted is taken: where
         there is no room for all of it yet, this is to be called again."""
-        while self.accepting and (self._room() or self._make_room()):
+        while self.accepting and self._has_room():
             taken = self._take()
             if taken is False:
                 self.leave()  # only now: what stands in the queue of a closed socket is reset
@@ -144,8 +151,9 @@
 
     def _accept(self) -> None:
         for _ in range(BATCH):
-            if not self._room() and not self._make_room():
-                self._pause()
+            if not self._has_room():
+                if len(self._ending) < OVERDRAFT:  # else there is some with the next turn, and this is called again
+                    self._pause()
                 return
             if not self._take():
                 return
@@ -153,6 +161,17 @@
     def _room(self) -> bool:
         return len(self.connections) + len(self._opening) < self.most
 
+    def _has_room(self) -> bool:
+        """Make sure of a place for one more; False where nobody can be ended for it in this turn.
+
+        Protects everything else that needs descriptors: that of a connection that was ended is free with the loop's
+        next turn, and until then both count.
+        """
+        while not self._room():
+            if len(self._ending) >= OVERDRAFT or not self._make_room():
+                return False
+        return True
+
     def _take(self) -> bool | None:
         """Accept one connection; False if there is none, None if there is no descriptor for it."""
         assert self._socket is not None and self._loop is not None
@@ -163,6 +182,7 @@
         except OSError as error:
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 # The queue stays readable: without a pause this would be called again and again.
+                self._give_way()
                 self._pause()
                 return None
             return True  # that one client is gone already
@@ -182,12 +202,36 @@
         except OSError:
             made.close()  # the client is gone, or descriptors are
 
+    def _give_way(self) -> None:
+        """There is no descriptor left, for whatever reason: clients keep to fewer for a while.
+
+        Protects discovery, operators, servers and the next process, which ask for a descriptor now and then, while
+        clients come all the time and would take each that is free.
+        """
+        assert self._loop is not None
+        # No less than half: fewer places are taken by a crowd faster than it can be sent away.
+        self.most = max(1, self._share // 2, min(self.most, len(self.connections)) - SPARE)
+        for _ in range(SPARE):
+            if self._room() or not self._make_room():
+                break
+        if self._relaxing is not None:
+            self._relaxing.cancel()
+        else:
+            LOG.warning("clients.no_descriptor", connections=len(self.connections), most=self.most)
+        self._relaxing = self._loop.call_later(RELAX_S, self._relax)
+
+    def _relax(self) -> None:
+        self._relaxing = None
+        self.most = self._share
+
     def _pause(self) -> None:
-        if self.accepting and self._socket is not None and self._loop is not None:
+        if self.accepting and not self._pausing and self._socket is not None and self._loop is not None:
+            self._pausing = True
             self._loop.remove_reader(self._socket.fileno())
             self._loop.call_later(PAUSE_S, self._go_on)
 
     def _go_on(self) -> None:
+        self._pausing = False
         if self.accepting and self._socket is not None and self._loop is not None:
             self._loop.add_reader(self._socket.fileno(), self._accept)
             self._accept()
@@ -222,7 +266,8 @@
         return False
 
     def _end(self, connection: ClientConnection) -> None:
-        self.lost(connection)  # its descriptor is free with the loop's next turn
+        self.lost(connection)
+        self._ending.add(connection)
         connection.close()
 
     # --- for the connections
@@ -268,6 +313,7 @@
     def lost(self, connection: ClientConnection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
+        self._ending.discard(connection)
         self.move(connection, None)
 
     def move(self, connection: ClientConnection, queue: Queue | None) -> None:
--- a/hollyport/sidecar.py
+++ b/hollyport/sidecar.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from typing import Any, Protocol
 
 from dunefield import memory
@@ -216,12 +217,21 @@
 
     def share(self, processes: int) -> None:
         """Keep to a part of the limits: so many processes are one sidecar."""
-        sockets = self._config.sockets // processes
+        sockets = min(self._config.sockets // processes, self._may_open())
         clients, servers = descriptors(sockets)
         self._listener.resize(clients, sockets // 4)
         self._upstream.resize(servers)
         self._budget.resize(self._config.memory_mb, processes)
 
+    def _may_open(self) -> int:
+        """Descriptors that the machine grants this process: the configuration may name more."""
+        granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if granted in (resource.RLIM_INFINITY, -1):
+            return self._config.sockets
+        if granted < self._config.sockets:
+            LOG.warning("process.fewer_descriptors", granted=granted, configured=self._config.sockets)
+        return granted
+
     def open_up(self) -> None:
         """Let clients in, and let the next process find this one."""
         self._listener.let_in()
