--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -40,12 +40,12 @@
 # One line each: what, and the command that gave it. docs/CAPACITY.md says how busy the machine was.
 MEASURED = {
     "idle_bytes": 160.0,  # an idle call, both ways: benchmarks.fleet, "nothing", B/s over msgs/s
-    "change_bytes": 296.0,  # a change told to one watch, both ways: benchmarks.fleet, "one change"
-    "idle_ms": 0.1,  # of a sidecar for an idle call: benchmarks.fleet --point 7200 100, "nothing", ms/s over msgs/s
-    "discovery_us": 40.0,  # of the stand-in for an answer: benchmarks.fleet --point 7200 100, disc. core over msgs/s
-    "discovery_us_kb": 0.75,  # and for each KB of it: benchmarks.fleet --point 100 7200, "all start"
-    "process_mb": 29.5,  # a real sidecar with a list of 100: benchmarks.fleet --point 100 100
-    "process_7200_mb": 46.3,  # with 7,200, after all events: benchmarks.fleet --point 100 7200
+    "change_bytes": 295.0,  # a change told to one watch, both ways: benchmarks.fleet, "one change"
+    "idle_ms": 0.2,  # of a sidecar for an idle call: benchmarks.fleet --point 100 7200, "nothing", ms/s over msgs/s
+    "discovery_us": 26.0,  # of the stand-in for an answer: benchmarks.fleet --point 7200 100, disc. core over msgs/s
+    "discovery_us_kb": 0.5,  # and for each KB of it: benchmarks.fleet --point 100 7200, "all start"
+    "process_mb": 29.4,  # a real sidecar with a list of 100: benchmarks.fleet --point 100 100
+    "process_7200_mb": 46.0,  # with 7,200, after all events: benchmarks.fleet --point 100 7200
     "probe_bytes": 57.0,  # a probe's request alone: hollyport/http1/backend.py
 }
 
