--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -175,9 +175,11 @@
         self.version, self.at = 0, math.nan
         self.born = time.monotonic()
         self.over = False
-        # Some checkouts tell large lists in parts, by comparing them with what is known here.
-        known = {"known": self.lines} if "known" in inspect.signature(Discovery).parameters else {}
-        self._discovery = Discovery(loop, Address("127.0.0.1", port), told, 0, self._told, **known)
+        # Some checkouts tell large lists in parts, by comparing them with what is known here, or draw their pauses.
+        takes = inspect.signature(Discovery).parameters
+        more = {name: value for name, value in (("known", self.lines), ("draw", random.Random(seed).random))
+                if name in takes}
+        self._discovery = Discovery(loop, Address("127.0.0.1", port), told, 0, self._told, **more)
         self._follows: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -219,6 +221,9 @@
         if isinstance(listing, str):
             self.deliver(Directory(listing))
             return
+        if not hasattr(listing, "lines"):  # a call that brought none; its scope, and how long it took
+            self.deliver(Directory(listing.scope, took_ns=listing.took_ns))
+            return
         lines = listing.lines
         if self._stale:  # the planted fault: what has gone stays
             lines = tuple(line for line in lines if line.entry.lifecycle != "removed")
