--- /dev/null
+++ b/rosechute/data/ports.py
@@ -0,0 +1,22 @@
+"""What the data plane needs of the rest of an edge process, as typed protocols."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+
+class QuotaTokens(Protocol):
+    """Tokens of a tenant's quota, issued by the leader and held by this edge until they expire."""
+
+    def spend(self, tenant: str, tokens: int, decided: Callable[[bool, float], None]) -> None:
+        """Take so many tokens of a limited tenant. `decided(allowed, retry_after_s)` is called exactly once, possibly
+        before this returns, or after an exchange with the leader (bounded; on silence it is refused)."""
+
+
+class Freshness(Protocol):
+    """How long ago this edge knew its configuration to be the newest one."""
+
+    def confirmed_at(self) -> float:
+        """Steady time (the loop's clock) as of which the configuration in force was the newest acknowledged one;
+        minus infinity before the first confirmation."""
--- /dev/null
+++ b/rosechute/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution from the control plane to the edges: membership leases, home edges, subscriptions, hints."""
--- /dev/null
+++ b/rosechute/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes: protobuf, framing and TCP links."""
--- /dev/null
+++ b/rosechute/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs that assemble the planes, and the command line."""
--- /dev/null
+++ b/rosechute/routing/model.py
@@ -0,0 +1,104 @@
+"""Typed inputs and outputs of the router.
+
+Times are seconds of a steady clock, given by the caller. Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+Ticket = int  # names one client request, unique in a process
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One server as the platform's list shows it; `ready` is False while it drains."""
+
+    id: str
+    address: str  # host:port
+    zone: str
+    slots: int
+    ready: bool
+    cold_until: float = 0.0  # steady time until which it is slow from its start
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """One part of a prompt, from `X-Rosechute-Prompt-Prefix`."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingRequest:
+    """What the router needs to know of one request."""
+
+    ticket: Ticket
+    service: str
+    route: str
+    priority: int  # 0 is the most urgent; a tenant's priority stands before the route's
+    deadline: float  # steady time at which the client gives up, or the route's timeout ends
+    target_s: float  # latency objective, in seconds from `arrived`
+    arrived: float
+    max_attempts: int
+    repeatable: bool  # idempotent, or a stream that may be resumed
+    sticky: bool = False
+    model: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    input_tokens: int = 0
+    output_tokens: int = 0
+
+
+class AttemptResult(enum.Enum):
+    """How one attempt at one server ended, or went on."""
+
+    HEAD = "head"  # the head of a successful answer has come; the attempt still holds its connection
+    DONE = "done"  # the whole answer has come; the connection is free
+    SERVER_ERROR = "server_error"  # an answer that reports a failure, and the request ran
+    NOT_EXECUTED = "not_executed"  # 503 with X-Rosechute-Not-Executed: full
+    WRONG_INSTANCE = "wrong_instance"  # 421: another server has the address now
+    CONNECT_FAILED = "connect_failed"  # nothing was sent
+    RESET = "reset"  # reset or closed after something was sent: it may have run
+    TIMEOUT = "timeout"  # silence: it may have run
+    CANCELLED = "cancelled"  # withdrawn by the edge itself; says nothing of the server
+
+
+class RejectReason(enum.Enum):
+    """Why the router gives a request up."""
+
+    NO_SERVERS = "no_servers"  # the service has none in the list
+    ALL_BACKED_OFF = "all_backed_off"  # every server is at budget 0 and in backoff
+    OVERLOADED = "overloaded"  # the wait would outlast its deadline, or it gave way to a more urgent one
+    RETRY_BUDGET = "retry_budget"  # a further attempt is not affordable
+    ATTEMPTS = "attempts"  # max_attempts is used up
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to this server now."""
+
+    ticket: Ticket
+    server_id: str
+    address: str
+    trial: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Answer the request now: it was given up."""
+
+    ticket: Ticket
+    reason: RejectReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to a server that has left the list or drains."""
+
+    server_id: str
+
+
+RoutingAction = Send | Reject | CloseIdle
