Frames and TCP links of the fleet's internal protocol

Need: both planes exchange protobuf messages between machines, over links where a dead, silent or cut-off peer may cost nothing but its own messages.

--- /dev/null
+++ b/rosechute/messages/framing.py
@@ -0,0 +1,55 @@
+"""Frames of the internal protocol: a 4-byte big-endian length, one byte for the kind, then the message.
+
+The length counts the message only. Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+import enum
+import struct
+from dataclasses import dataclass, field
+
+LENGTH_LIMIT_BYTES = 8 * 1024 * 1024
+_HEADER = struct.Struct(">IB")
+
+
+class Kind(enum.IntEnum):
+    """To which plane a message belongs."""
+
+    COORDINATION = 1
+    DISTRIBUTION = 2
+
+
+class FrameError(ValueError):
+    """The bytes that came are no frames; the connection can't be read any further."""
+
+
+def encode_frame(kind: Kind, data: bytes) -> bytes:
+    """One frame; FrameError where the message is over the bound."""
+    if len(data) > LENGTH_LIMIT_BYTES:
+        raise FrameError(f"message of {len(data)} bytes is over the bound")
+    return _HEADER.pack(len(data), kind) + data
+
+
+@dataclass(slots=True)
+class FrameReader:
+    """Cuts a stream of bytes into frames, whatever the pieces it comes in."""
+
+    _buffer: bytearray = field(default_factory=bytearray)
+
+    def feed(self, data: bytes) -> list[tuple[Kind, bytes]]:
+        """The frames that are whole now. FrameError: the stream is broken."""
+        self._buffer += data
+        frames: list[tuple[Kind, bytes]] = []
+        start = 0
+        while len(self._buffer) - start >= _HEADER.size:
+            length, kind = _HEADER.unpack_from(self._buffer, start)
+            if length > LENGTH_LIMIT_BYTES or kind not in Kind.__members__.values():
+                raise FrameError(f"frame of kind {kind} and {length} bytes")
+            end = start + _HEADER.size + length
+            if len(self._buffer) < end:
+                break
+            frames.append((Kind(kind), bytes(self._buffer[start + _HEADER.size : end])))
+            start = end
+        del self._buffer[:start]
+        return frames
--- /dev/null
+++ b/tests/fleet/test_distribution_link.py
@@ -0,0 +1,119 @@
+"""Frames and links of the internal protocol, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from rosechute.messages import framing
+from rosechute.messages.framing import FrameError, FrameReader, Kind, encode_frame
+from rosechute.messages.link import LinkConnection, LinkError, LinkPool, LinkServer
+
+
+def free_address() -> str:
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{bound.getsockname()[1]}"
+
+
+class FrameTest(unittest.TestCase):
+    def test_frames_come_whole_whatever_the_pieces(self) -> None:
+        stream = encode_frame(Kind.COORDINATION, b"first") + encode_frame(Kind.DISTRIBUTION, b"")
+        stream += encode_frame(Kind.DISTRIBUTION, b"x" * 70000)
+        for size in (1, 3, 4096, len(stream)):
+            reader = FrameReader()
+            frames = []
+            for start in range(0, len(stream), size):
+                frames += reader.feed(stream[start : start + size])
+            self.assertEqual(
+                frames,
+                [(Kind.COORDINATION, b"first"), (Kind.DISTRIBUTION, b""), (Kind.DISTRIBUTION, b"x" * 70000)],
+            )
+
+    def test_a_length_over_the_bound_breaks_the_stream(self) -> None:
+        over = (framing.LENGTH_LIMIT_BYTES + 1).to_bytes(4, "big") + b"\x01"
+        with self.assertRaises(FrameError):
+            FrameReader().feed(over)
+        with self.assertRaises(FrameError):
+            encode_frame(Kind.COORDINATION, bytes(framing.LENGTH_LIMIT_BYTES + 1))
+
+    def test_an_unknown_kind_breaks_the_stream(self) -> None:
+        with self.assertRaises(FrameError):
+            FrameReader().feed(b"\x00\x00\x00\x01\x09x")
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_comes_back_on_the_same_connection(self) -> None:
+        def answer(connection: LinkConnection, kind: Kind, data: bytes) -> None:
+            connection.send(kind, data.upper())
+
+        address = free_address()
+        server = LinkServer(address, answer)
+        await server.start()
+        came: asyncio.Queue[tuple[Kind, bytes]] = asyncio.Queue()
+        pool = LinkPool(lambda connection, kind, data: came.put_nowait((kind, data)))
+        pool.send(address, Kind.DISTRIBUTION, b"one")
+        pool.send(address, Kind.COORDINATION, b"two")
+        async with asyncio.timeout(5):
+            self.assertEqual(await came.get(), (Kind.DISTRIBUTION, b"ONE"))
+            self.assertEqual(await came.get(), (Kind.COORDINATION, b"TWO"))
+        pool.close()
+        server.close()
+
+    async def test_a_refused_link_is_told_and_opens_again_when_the_peer_is_there(self) -> None:
+        address = free_address()
+        closed: asyncio.Queue[LinkError] = asyncio.Queue()
+        pool = LinkPool(lambda connection, kind, data: None, closed.put_nowait)
+        pool.send(address, Kind.DISTRIBUTION, b"lost")
+        async with asyncio.timeout(5):
+            error = await closed.get()
+        self.assertEqual((error.step, error.peer), ("connect", address))
+        came: asyncio.Queue[bytes] = asyncio.Queue()
+        server = LinkServer(address, lambda connection, kind, data: came.put_nowait(data))
+        await server.start()
+        pool.send(address, Kind.DISTRIBUTION, b"kept")
+        async with asyncio.timeout(5):
+            self.assertEqual(await came.get(), b"kept")
+        server.close()
+        async with asyncio.timeout(5):
+            self.assertEqual((await closed.get()).step, "open")
+        pool.close()
+
+    async def test_a_peer_that_does_not_read_costs_only_its_oldest_messages(self) -> None:
+        address = free_address()
+        came: asyncio.Queue[bytes] = asyncio.Queue()
+        accepted: list[LinkConnection] = []
+
+        def keep(connection: LinkConnection, kind: Kind, data: bytes) -> None:
+            if not accepted:
+                accepted.append(connection)
+                transport = connection._transport
+                assert transport is not None
+                transport.pause_reading()
+            came.put_nowait(data)
+
+        server = LinkServer(address, keep)
+        await server.start()
+        pool = LinkPool(lambda connection, kind, data: None)
+        pool.send(address, Kind.DISTRIBUTION, b"first")
+        async with asyncio.timeout(5):
+            await came.get()
+        count = 400
+        for number in range(count):
+            pool.send(address, Kind.DISTRIBUTION, number.to_bytes(4, "big") + bytes(65536))
+        transport = accepted[0]._transport
+        assert transport is not None
+        transport.resume_reading()
+        numbers: list[int] = []
+        async with asyncio.timeout(20):
+            while not numbers or numbers[-1] != count - 1:
+                numbers.append(int.from_bytes((await came.get())[:4], "big"))
+        self.assertLess(len(numbers), count)
+        self.assertEqual(numbers, sorted(numbers))
+        pool.close()
+        server.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
