--- /dev/null
+++ b/rosechute/routing/call.py
@@ -0,0 +1,31 @@
+"""One client request that the router has not finished with, and the attempt that is out for it."""
+
+from __future__ import annotations
+
+from rosechute.routing.model import RoutingRequest
+from rosechute.routing.server import Server
+
+
+class Attempt:
+    """A request at a server."""
+
+    __slots__ = ("server", "sent_at", "trial", "headed", "tokens")
+
+    def __init__(self, server: Server, sent_at: float, trial: bool, tokens: int) -> None:
+        self.server, self.sent_at, self.trial, self.tokens = server, sent_at, trial, tokens
+        self.headed = False  # the head of its answer has come
+
+
+class Call:
+    """A request that waits, or has an attempt out."""
+
+    __slots__ = ("request", "tried", "runs", "arrivals", "attempt", "give_up_at", "sent")
+
+    def __init__(self, request: RoutingRequest, give_up_at: float) -> None:
+        self.request = request
+        self.tried: list[Server] = []
+        self.runs = 0  # attempts that may have run
+        self.arrivals = 0  # attempts that may have reached a server
+        self.sent = 0  # attempts
+        self.attempt: Attempt | None = None
+        self.give_up_at = give_up_at  # it waits no longer than until then
