Coordination of the core machines: first working version

Cause: the fleet's control plane needs an agreed view, a replicated configuration and one leader, as a pure library. Change: messages and records, views decided by single-decree Paxos together with the state they start from, the chain with confirmed refusals and reads, the leader lease, failure detection, planning of views.

--- /dev/null
+++ b/rosechute/coordination/chain.py
@@ -0,0 +1,264 @@
+"""The chain: writes enter at the head, are stored by each member in turn, and count once the tail has stored them.
+
+The head has one write under way at a time; orders behind it wait, since each builds on the version before it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from rosechute.coordination.confirm import Confirmer
+from rosechute.coordination.context import Context
+from rosechute.coordination.memory import write_message
+from rosechute.coordination.types import (
+    Acknowledged,
+    Configuration,
+    Elsewhere,
+    Identity,
+    NoConfiguration,
+    Order,
+    Outcome,
+    Stale,
+    Unsure,
+)
+from rosechute.messages import coordination_pb2 as pb
+
+
+@dataclass(slots=True)
+class PendingOrder:
+    """An order that waits at the head, with all requests that sent it."""
+
+    order: Order
+    requests: list[tuple[int, float]] = field(default_factory=list)  # with the time when each came
+
+
+@dataclass(slots=True)
+class _Flight:
+    """The write that is under way."""
+
+    sequence: int
+    pending: PendingOrder
+    sent: float
+    wait: float
+
+
+class Chain:
+    """This machine as head, middle or tail."""
+
+    def __init__(self, context: Context, confirmer: Confirmer, committed: Callable[[], None]) -> None:
+        self._context = context
+        self._confirmer = confirmer
+        self._committed = committed
+        self._flight: _Flight | None = None
+        self._queue: deque[PendingOrder] = deque()
+        self._refusals: list[PendingOrder] = []
+        self._number = 0  # of the record with the newest write
+        self.active = False  # this is the head, and all members have adopted the epoch
+
+    # Orders
+
+    def submit(self, order: Order) -> None:
+        """An operator's order at this machine."""
+        context = self._context
+        taken = context.memory.committed.version_taken(order.digest)
+        if taken is not None:
+            context.outbox.answer(order.request, Acknowledged(taken))
+            return
+        if not self._is_head():
+            context.outbox.answer(order.request, self._redirect(context.memory.view.head()))
+            return
+        for pending in self._under_way():
+            if pending.order.digest == order.digest:
+                pending.requests.append((order.request, context.now))
+                return
+        self._queue.append(PendingOrder(order, [(order.request, context.now)]))
+        self._next()
+
+    def activate(self) -> None:
+        """All members of the chain have adopted the epoch; orders may be taken."""
+        if not self.active:
+            self.active = True
+            self._context.announce = True
+            self._next()
+
+    def _is_head(self) -> bool:
+        view = self._context.memory.view
+        return bool(view.chain) and view.chain[0] == self._context.own.id
+
+    def _redirect(self, target: Identity | None) -> Outcome:
+        context = self._context
+        if target is None or target.id == context.own.id or not context.detector.reaches(context.now, target.id):
+            return Unsure()
+        return Elsewhere(target.control_address)
+
+    def _under_way(self) -> list[PendingOrder]:
+        flight = [self._flight.pending] if self._flight is not None else []
+        return [*flight, *self._queue, *self._refusals]
+
+    def _next(self) -> None:
+        """Deal with the orders that wait, until one of them is under way."""
+        context = self._context
+        while self.active and context.settled and self._flight is None and self._queue:
+            pending = self._queue.popleft()
+            current = context.memory.committed
+            taken = current.version_taken(pending.order.digest)
+            if taken is not None:
+                self._answer(pending, Acknowledged(taken))
+            elif pending.order.base_version != current.version or pending.order.version <= current.version:
+                self._refusals.append(pending)
+                self._confirmer.ask(partial(self._refuse, pending))
+            else:
+                self._start(pending)
+
+    def _start(self, pending: PendingOrder) -> None:
+        context, order = self._context, pending.order
+        state = context.memory.committed.after(context.memory.view.epoch, order.version, order.body, order.digest)
+        self._flight = _Flight(state.sequence, pending, context.now, context.timing.resend_write)
+        self._store(write_message(state))
+
+    def _refuse(self, pending: PendingOrder, certain: bool) -> None:
+        """The order doesn't fit; say so only if this was certainly the newest epoch."""
+        if pending not in self._refusals:
+            return
+        self._refusals.remove(pending)
+        if certain:
+            self._answer(pending, Stale(self._context.memory.committed.version))
+        elif pending.requests:
+            self._again(pending)
+
+    def _again(self, pending: PendingOrder) -> None:
+        """The view has changed, or nothing is certain: what becomes of an order that was not taken so far."""
+        context = self._context
+        taken = context.memory.committed.version_taken(pending.order.digest)
+        if taken is not None:
+            self._answer(pending, Acknowledged(taken))
+        elif self._is_head():
+            self._queue.append(pending)
+        else:
+            self._answer(pending, self._redirect(context.memory.view.head()))
+
+    def _answer(self, pending: PendingOrder, outcome: Outcome) -> None:
+        for request, _ in pending.requests:
+            self._context.outbox.answer(request, outcome)
+        pending.requests.clear()
+
+    def _answer_late(self, pending: PendingOrder) -> None:
+        """Answer the requests that have waited for so long that the operator moves on."""
+        limit = self._context.now - self._context.timing.order_deadline
+        for request, since in pending.requests:
+            if since <= limit:
+                self._context.outbox.answer(request, Unsure())
+        pending.requests = [each for each in pending.requests if each[1] > limit]
+
+    # Writes
+
+    def on_chain_write(self, sender: Identity, write: pb.ChainWrite) -> None:
+        """The member before this one passes a write on."""
+        context = self._context
+        view, memory = context.memory.view, context.memory
+        if write.epoch != view.epoch or not context.settled or context.joined != view.epoch:
+            return
+        if view.predecessor(context.own.id) != sender.id:
+            return
+        newest = memory.newest
+        if write.sequence == newest.sequence + 1:
+            self._store(write)
+        elif write.sequence == newest.sequence:
+            context.disk.after(self._number, partial(self._stored, write.epoch, write.sequence))
+
+    def _store(self, write: pb.ChainWrite) -> None:
+        context = self._context
+        before = context.memory.committed.sequence
+        context.disk.write(pb.Record(write=write), partial(self._stored, write.epoch, write.sequence))
+        self._number = context.disk.number
+        if context.memory.committed.sequence > before:
+            self._committed()
+
+    def _stored(self, epoch: int, sequence: int) -> None:
+        """A write is synced here: pass it on; at the tail it counts."""
+        context = self._context
+        memory, view = context.memory, context.memory.view
+        if epoch != view.epoch or not context.settled or memory.newest.sequence != sequence:
+            return
+        successor = view.successor(context.own.id)
+        if successor is not None:
+            self._pass_on(successor)
+        else:
+            context.announce = True
+            self.note_committed(epoch, sequence)
+
+    def _pass_on(self, successor: Identity) -> None:
+        write = write_message(self._context.memory.newest)
+        self._context.outbox.send(successor, pb.CoreMessage(chain_write=write))
+
+    def note_committed(self, epoch: int, sequence: int) -> None:
+        """The tail has stored this write."""
+        context, memory = self._context, self._context.memory
+        if epoch != memory.view.epoch or memory.written is None or memory.written.sequence > sequence:
+            return
+        memory.commit()
+        self._committed()
+        flight = self._flight
+        if flight is not None and flight.sequence <= sequence:
+            self._flight = None
+            self._answer(flight.pending, Acknowledged(flight.pending.order.version))
+        if context.settled:
+            self._next()
+
+    # Reads
+
+    def read(self, request: int) -> None:
+        """An operator reads the newest configuration."""
+        context = self._context
+        view = context.memory.view
+        if not view.chain or view.chain[-1] != context.own.id:
+            context.outbox.answer(request, self._redirect(view.tail()))
+        elif not context.settled:
+            context.outbox.answer(request, Unsure())
+        else:
+            self._confirmer.ask(partial(self._read, request))
+
+    def _read(self, request: int, certain: bool) -> None:
+        context = self._context
+        outcome: Outcome = Unsure()
+        configuration = context.memory.committed.committed()
+        if certain and configuration is not None:
+            outcome = Configuration(
+                configuration.sequence, configuration.version, configuration.body, configuration.digest
+            )
+        elif certain:
+            outcome = NoConfiguration()
+        elif not context.in_chain or context.memory.view.chain[-1] != context.own.id:
+            outcome = self._redirect(context.memory.view.tail())
+        context.outbox.answer(request, outcome)
+
+    # Time and views
+
+    def tick(self) -> None:
+        """Repeat a write that is under way; leave no operator waiting."""
+        context, now = self._context, self._context.now
+        for pending in self._under_way():
+            self._answer_late(pending)
+        self._queue = deque(pending for pending in self._queue if pending.requests)
+        flight = self._flight
+        if flight is not None and now - flight.sent >= flight.wait:
+            flight.sent, flight.wait = now, 2 * flight.wait
+            context.disk.after(self._number, partial(self._stored, context.memory.view.epoch, flight.sequence))
+
+    def durable_sequence(self) -> int:
+        """Sequence of the newest state that is synced here."""
+        memory = self._context.memory
+        return (memory.newest if self._number <= self._context.disk.durable else memory.committed).sequence
+
+    def view_changed(self) -> None:
+        """Another view is adopted: settle or carry over what was under way."""
+        self.active = False
+        waiting = self._under_way()
+        self._flight = None
+        self._queue.clear()
+        self._refusals.clear()
+        for pending in waiting:
+            self._again(pending)
--- /dev/null
+++ b/rosechute/coordination/context.py
@@ -0,0 +1,45 @@
+"""What the parts of a replica share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rosechute.coordination.detector import Detector
+from rosechute.coordination.disk import Disk
+from rosechute.coordination.memory import Memory
+from rosechute.coordination.outbox import Outbox
+from rosechute.coordination.types import Identity, Timing
+
+
+@dataclass(slots=True)
+class Context:
+    """The machine, the time of the current call, its knowledge, its disk and the others."""
+
+    own: Identity
+    boot: int
+    timing: Timing
+    draw: Callable[[], float]
+    now: float
+    memory: Memory
+    disk: Disk
+    outbox: Outbox
+    detector: Detector
+    joined: int = 0  # epoch that this process adopted itself, synced
+    adopted: int = 0  # newest epoch whose adoption is synced
+    announce: bool = False  # tell the others the new state at once
+
+    @property
+    def is_acceptor(self) -> bool:
+        """Whether this machine accepts in the current view."""
+        return self.memory.view.accepts(self.own.id)
+
+    @property
+    def in_chain(self) -> bool:
+        """Whether this machine stores in the current view."""
+        return self.own.id in self.memory.view.chain
+
+    @property
+    def settled(self) -> bool:
+        """Whether the epoch in memory is adopted on disk and not sealed."""
+        return self.adopted == self.memory.view.epoch and not self.memory.sealed
--- /dev/null
+++ b/rosechute/coordination/lease.py
@@ -0,0 +1,189 @@
+"""The leader lease: who grants it, who asks for it, who holds it.
+
+A grant binds the grantor for one lease on its steady clock. The holder counts from the moment when it asked and stops
+a margin earlier. Grants are given within one epoch only, and not once that epoch is sealed.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from functools import partial
+
+from rosechute.coordination.context import Context
+from rosechute.coordination.types import Identity, LeaseGained, LeaseLost
+from rosechute.coordination.views import Term
+from rosechute.messages import coordination_pb2 as pb
+
+
+@dataclass(slots=True)
+class Grantor:
+    """Grants of this machine."""
+
+    context: Context
+    abstain_until: float
+    holder: Term = Term()  # to whom the grant that runs was given
+    until: float = 0.0
+    _number: int = 0  # of the record with the newest term
+
+    def free(self) -> bool:
+        """Whether another machine could have the lease from this grantor now."""
+        context = self.context
+        return context.is_acceptor and context.settled and context.now >= max(self.until, self.abstain_until)
+
+    def abstain(self) -> None:
+        """Grant nothing for one lease: grants may run elsewhere that this machine doesn't know."""
+        self.abstain_until = max(self.abstain_until, self.context.now + self.context.timing.lease)
+
+    def on_request(self, sender: Identity, boot: int, request: pb.LeaseRequest) -> None:
+        """A machine asks for the lease or renews it."""
+        context = self.context
+        asked = Term(request.term, sender.id, boot)
+        if not self._may_grant(sender, request.epoch, asked):
+            return
+        self.holder, self.until = asked, context.now + context.timing.lease
+        if asked == context.memory.term:
+            context.disk.after(self._number, partial(self._grant, sender, request, asked))
+        else:
+            context.disk.write(pb.Record(term=asked.message()), partial(self._grant, sender, request, asked))
+            self._number = context.disk.number
+
+    def on_release(self, sender: Identity, boot: int, release: pb.LeaseRelease) -> None:
+        """The holder or a candidate gives its grant back."""
+        if self.holder == Term(release.term, sender.id, boot):
+            self.until = min(self.until, self.context.now)
+
+    def _may_grant(self, sender: Identity, epoch: int, asked: Term) -> bool:
+        context, memory = self.context, self.context.memory
+        if epoch != memory.view.epoch or not context.is_acceptor or not context.settled:
+            return False
+        if context.now < self.abstain_until or not context.detector.reaches(context.now, sender.id):
+            return False
+        if context.now < self.until and self.holder.holder != sender.id:
+            return False
+        return asked == memory.term or asked.number > memory.term.number
+
+    def _grant(self, sender: Identity, request: pb.LeaseRequest, asked: Term) -> None:
+        context = self.context
+        if context.memory.term != asked or not context.settled or context.memory.view.epoch != request.epoch:
+            return
+        if self.holder != asked or context.now < self.abstain_until:
+            return
+        self.until = context.now + context.timing.lease
+        grant = pb.LeaseGrant(epoch=request.epoch, term=request.term, stamp=request.stamp)
+        context.outbox.send(sender, pb.CoreMessage(lease_grant=grant))
+
+
+class Standing(enum.Enum):
+    """What a machine is in the leader lease."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True)
+class Holder:
+    """The lease as this machine asks for it and holds it."""
+
+    context: Context
+    standing: Standing = Standing.FOLLOWER
+    term: int = 0
+    until: float = 0.0  # own clock; valid while leader
+    not_before: float = 0.0
+    _asked: float = 0.0
+    _since: float = 0.0
+    _stamps: dict[str, float] = field(default_factory=dict)  # newest stamp of ours that each acceptor granted
+    _stamps_epoch: int = 0
+
+    def holds(self, now: float) -> bool:
+        """Whether this machine holds the lease."""
+        return self.standing is Standing.LEADER and now < self.until
+
+    def granting(self) -> int:
+        """How many acceptors of the view have granted lately."""
+        since = self.context.now - self.context.timing.suspect
+        return sum(1 for each in self.context.memory.view.acceptors if self._stamps.get(each.id, since) > since)
+
+    def expire(self) -> None:
+        """Stop in time. Comes before anything else in every call of the replica."""
+        if self.standing is Standing.LEADER and self.context.now >= self.until:
+            self._become_follower()
+
+    def give_up(self) -> None:
+        """Stop now, and let the others grant to another machine at once."""
+        if self.standing is Standing.FOLLOWER:
+            return
+        term = self.term
+        self._become_follower()
+        for acceptor in self.context.memory.view.acceptors:
+            release = pb.LeaseRelease(term=term)
+            self.context.outbox.send(acceptor, pb.CoreMessage(lease_release=release))
+
+    def tick(self, free: int, place: int) -> None:
+        """Renew, or become a candidate. `free`: acceptors that would grant; `place` of this machine in the chain."""
+        context = self.context
+        eligible = context.in_chain and context.disk.healthy()
+        if not eligible:
+            self.give_up()
+        elif self.standing is Standing.LEADER:
+            if context.now - self._asked >= context.timing.renew:
+                self._ask()
+        elif self.standing is Standing.CANDIDATE:
+            if context.now - self._since > context.timing.candidate_timeout:
+                self.give_up()
+                self.not_before = context.now + context.timing.candidate_step * (1 + 3 * context.draw())
+            elif context.now - self._asked >= context.timing.resend:
+                self._ask()
+        elif free < context.memory.view.majority or not context.settled:
+            self.not_before = max(self.not_before, context.now + context.timing.candidate_step * place)
+        elif context.now >= self.not_before:
+            self._become_candidate()
+
+    def on_grant(self, sender: Identity, grant: pb.LeaseGrant) -> None:
+        """An acceptor granted."""
+        view = self.context.memory.view
+        if self.standing is Standing.FOLLOWER or grant.term != self.term or grant.epoch != view.epoch:
+            return
+        if not view.accepts(sender.id):
+            return
+        if self._stamps_epoch != view.epoch:
+            self._stamps, self._stamps_epoch = {}, view.epoch
+        self._stamps[sender.id] = max(grant.stamp, self._stamps.get(sender.id, grant.stamp))
+        stamps = sorted(self._stamps.values(), reverse=True)
+        if len(stamps) >= view.majority:
+            timing = self.context.timing
+            self._extend(stamps[view.majority - 1] + timing.lease - timing.lease_margin)
+
+    def _extend(self, until: float) -> None:
+        if until <= self.context.now:
+            return
+        self.until = max(self.until, until)
+        if self.standing is Standing.CANDIDATE:
+            self.standing = Standing.LEADER
+            self.context.announce = True
+            self.context.outbox.actions.append(LeaseGained(self.term))
+
+    def _ask(self) -> None:
+        context = self.context
+        self._asked = context.now
+        for acceptor in context.memory.view.acceptors:
+            request = pb.LeaseRequest(epoch=context.memory.view.epoch, term=self.term, stamp=context.now)
+            context.outbox.send(acceptor, pb.CoreMessage(lease_request=request))
+
+    def _become_candidate(self) -> None:
+        context = self.context
+        known = max((peer.beat.term for peer in context.detector.peers.values()), default=0)
+        self.standing = Standing.CANDIDATE
+        self.term = max(known, context.memory.term.number, self.term) + 1
+        self.until = 0.0
+        self._since = context.now
+        self._stamps, self._stamps_epoch = {}, context.memory.view.epoch
+        self._ask()
+
+    def _become_follower(self) -> None:
+        if self.standing is Standing.LEADER:
+            self.context.outbox.actions.append(LeaseLost())
+            self.context.announce = True
+        self.standing = Standing.FOLLOWER
+        self.until = 0.0
--- /dev/null
+++ b/rosechute/coordination/memory.py
@@ -0,0 +1,138 @@
+"""What a core machine knows: the fold of its durable records.
+
+Every change of this state is a record. Live changes and a start from disk go through the same `apply`, so what is in
+memory is always what the disk will give back once its newest record is synced.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from rosechute.coordination.types import Identity
+from rosechute.coordination.views import (
+    Ballot,
+    Proposal,
+    State,
+    Term,
+    View,
+    ballot_of,
+    identity_of,
+    machine_of,
+    proposal_of,
+    state_of,
+    term_of,
+    view_of,
+)
+from rosechute.messages import coordination_pb2 as pb
+
+
+@dataclass(slots=True)
+class Memory:
+    """The durable knowledge of a machine. `written` is a chain write that isn't known to stay yet."""
+
+    machine: Identity | None = None
+    bootstrap: bool = False
+    view: View = View()
+    committed: State = State()
+    written: State | None = None
+    promised: Ballot | None = None  # for the view after `view`: the epoch is sealed
+    accepted: Proposal | None = None
+    term: Term = Term()
+
+    @property
+    def sealed(self) -> bool:
+        """Whether the epoch takes no writes any more at this machine."""
+        return self.promised is not None
+
+    @property
+    def newest(self) -> State:
+        """The state with the greatest tag."""
+        return self.written or self.committed
+
+    def commit(self) -> None:
+        """The write in `written` is known to stay. A later record implies this, so that it needs none of its own."""
+        if self.written is not None:
+            self.committed, self.written = self.written, None
+
+    def apply(self, record: pb.Record) -> None:
+        """Change the state by one record."""
+        kind = record.WhichOneof("body")
+        if kind == "machine":
+            self._apply_machine(record.machine)
+        elif kind == "promise":
+            self.promised = ballot_of(record.promise.ballot)
+        elif kind == "accepted":
+            self.accepted = proposal_of(record.accepted)
+            self.promised = self.accepted.ballot
+        elif kind == "adopt":
+            self._apply_adopt(record.adopt)
+        elif kind == "write":
+            self._apply_write(record.write)
+        elif kind == "learn":
+            self.committed, self.written = state_of(record.learn.state), None
+        elif kind == "term":
+            self.term = term_of(record.term)
+        elif kind == "whole":
+            self._apply_whole(record.whole)
+
+    def _apply_machine(self, record: pb.MachineRecord) -> None:
+        self.machine = identity_of(record.machine)
+        self.bootstrap = record.bootstrap
+
+    def _apply_adopt(self, record: pb.AdoptRecord) -> None:
+        accepted = self.accepted
+        if record.HasField("accepted"):
+            if accepted is None or accepted.ballot != ballot_of(record.accepted):
+                return  # its proposal is not on this disk: only records that were never relied on
+            view, state = accepted.view, accepted.state
+        else:
+            view, state = view_of(record.view), state_of(record.state)
+        self.view, self.committed, self.written = view, state, None
+        self.promised, self.accepted = None, None
+        if view.term.number > self.term.number:
+            self.term = view.term
+
+    def _apply_write(self, record: pb.ChainWrite) -> None:
+        configuration = record.configuration
+        self.commit()
+        self.written = self.committed.after(
+            record.epoch, configuration.version, configuration.body, configuration.digest
+        )
+
+    def _apply_whole(self, record: pb.WholeRecord) -> None:
+        self._apply_machine(record.machine)
+        self.view = view_of(record.view)
+        self.committed, self.written = state_of(record.committed), None
+        if record.HasField("written"):
+            self._apply_write(record.written)
+        self.promised = ballot_of(record.promised) if record.HasField("promised") else None
+        self.accepted = proposal_of(record.accepted) if record.HasField("accepted") else None
+        self.term = term_of(record.term)
+
+    def whole(self) -> pb.Record:
+        """One record that replaces all earlier ones."""
+        whole = pb.WholeRecord(view=self.view.message(), committed=self.committed.message(), term=self.term.message())
+        if self.machine is not None:
+            whole.machine.CopyFrom(pb.MachineRecord(machine=machine_of(self.machine), bootstrap=self.bootstrap))
+        if self.written is not None:
+            whole.written.CopyFrom(write_message(self.written))
+        if self.promised is not None:
+            whole.promised.CopyFrom(self.promised.message())
+        if self.accepted is not None:
+            whole.accepted.CopyFrom(self.accepted.message())
+        return pb.Record(whole=whole)
+
+
+def write_message(state: State) -> pb.ChainWrite:
+    """The chain write that leads to this state."""
+    configuration = pb.Configuration(version=state.version, body=state.body, digest=state.digest)
+    return pb.ChainWrite(epoch=state.epoch, sequence=state.sequence, configuration=configuration)
+
+
+def load(saved: Iterable[bytes]) -> Memory:
+    """The state that these records lead to."""
+    memory = Memory()
+    for data in saved:
+        memory.apply(pb.Record.FromString(data))
+    return memory
--- /dev/null
+++ b/rosechute/coordination/outbox.py
@@ -0,0 +1,47 @@
+"""Collects what a call of the replica wants done."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from rosechute.coordination.types import Action, Answer, Identity, Outcome, Send
+from rosechute.coordination.views import machine_of
+from rosechute.messages import coordination_pb2 as pb
+
+
+@dataclass(slots=True)
+class Outbox:
+    """Actions of the current call. Messages to this machine itself are handled within the same call."""
+
+    own: Identity
+    boot: int
+    actions: list[Action] = field(default_factory=list)
+    local: deque[pb.CoreMessage] = field(default_factory=deque)
+
+    def send(self, target: Identity, message: pb.CoreMessage) -> None:
+        """Send to a machine, or hand over where the machine is this one."""
+        self._sign(message)
+        if target.id == self.own.id:
+            self.local.append(message)
+        else:
+            self.actions.append(Send(target.peer_address, message))
+
+    def send_to_address(self, address: str, message: pb.CoreMessage) -> None:
+        """Send to an address of which no more is known."""
+        self._sign(message)
+        if address != self.own.peer_address:
+            self.actions.append(Send(address, message))
+
+    def answer(self, request: int, outcome: Outcome) -> None:
+        """Answer an order or a read."""
+        self.actions.append(Answer(request, outcome))
+
+    def take(self) -> list[Action]:
+        """The actions so far, in order."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    def _sign(self, message: pb.CoreMessage) -> None:
+        message.sender.CopyFrom(machine_of(self.own))
+        message.boot = self.boot
