--- a/rosechute/storage/layout.py
+++ b/rosechute/storage/layout.py
@@ -2,7 +2,7 @@
 
 A slot is a header (mark, generation, length of the body), the body and a checksum over both; it counts only whole.
 A log entry is the length of its body, a checksum and the body. The checksum goes on from that of the entry before,
-the first from that of the slot: an entry counts only after exactly the slot and the entries that it was written after.
+the first from that of the slot: an entry counts only behind the slot and the entries that it was written after.
 A body is a number of records, each with its length.
 """
 
--- a/rosechute/storage/record_store.py
+++ b/rosechute/storage/record_store.py
@@ -1,7 +1,7 @@
 """Records in two slots that are written in turn, with a short log between. Blocks on the disk; see `writer`.
 
-The slot of the greatest generation that is whole, and the entries of its own log, are what counts. A new snapshot goes
-into the other slot, under a greater generation; its log begins only after the slot has been synced. What a power loss
+The whole slot of the greatest generation, and the entries of its own log, are what counts. A new snapshot goes into
+the other slot, under a greater generation; its log begins only after the slot has been synced. What a power loss
 leaves of an unsynced slot or entry either doesn't count or holds at least everything that was synced before.
 
 After a write that failed nobody knows what the disk holds: appending goes on only after a whole new snapshot.
