Core machine: operator's API, replica runtime, list reader and the core program

The core process puts the planes of the control side together: the replica over links and the record store, orders and reads for the operator, the platform's list for the leader, quota tokens for the edges.

--- /dev/null
+++ b/rosechute/control/core_machine.py
@@ -0,0 +1,221 @@
+"""A core machine: puts together replica, records, links, distribution, operator's API, list reader and quotas.
+
+It listens at once and answers `unsure` until its records are loaded; a disk that can't be read is tried again.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+
+from loguru import logger
+from returns.result import Failure
+
+from rosechute.configuration.process import ProcessSettings
+from rosechute.coordination.replica import Replica
+from rosechute.coordination.types import CommittedConfiguration, Outcome, ReplicaConfig, Unsure
+from rosechute.distribution.actions import Dialed, Send
+from rosechute.distribution.publisher import CoreAddress, Publisher
+from rosechute.distribution.values import ListedServer
+from rosechute.messages import distribution_pb2 as pb
+from rosechute.messages.coordination_pb2 import CoreMessage
+from rosechute.messages.framing import Kind
+from rosechute.messages.link import LinkConnection, LinkPool, LinkServer
+from rosechute.storage.files import DiskFolder
+from rosechute.storage.loading import load_records
+from rosechute.storage.record_store import RecordStore
+from rosechute.storage.writer import StoreWriter
+
+from .list_client import ListClient
+from .list_reader import ListReader
+from .operator_api import OperatorApi
+from .quota_service import QuotaService
+from .replica_runtime import TICK_S, ReplicaRuntime
+
+LOAD_RETRY_S = 0.2
+LATE_TICK_S = 0.5  # a tick so late is worth a line in the log
+
+
+class CoreMachine:
+    """Everything that runs on one core machine, on one event loop."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._draw = random.SystemRandom().random
+        self._runtime: ReplicaRuntime | None = None
+        self._writer: StoreWriter | None = None
+        self._quota = QuotaService(settings.bounds)
+        self._publisher = Publisher(self._quota.answer)
+        self._core: tuple[CoreAddress, ...] = ()
+        self._pool = LinkPool(self._received)
+        self._server = LinkServer(settings.core_link_address, self._received, self._closed)
+        self._api = OperatorApi(self, settings.listen.control)
+        self._list_client = ListClient(settings.cloud_api.address)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, and begin with everything else in the background."""
+        await self._server.start()
+        await self._api.start()
+        self._tasks.append(asyncio.create_task(self._run(), name="replica"))
+
+    async def stop(self) -> None:
+        """End: tell the others if this machine leads, then close. Records that are under way may be lost."""
+        for task in self._tasks:
+            task.cancel()
+        if self._runtime is not None:
+            self._runtime.resign()
+            await asyncio.sleep(0)  # lets the links send it
+        if self._writer is not None:
+            self._writer.stop()
+        await self._list_client.close()
+        self._server.close()
+        self._pool.close()
+
+    def change_settings(self, settings: ProcessSettings) -> None:
+        """The settings file has changed. Addresses of this machine hold until the next start."""
+        self._settings = settings
+        self._quota.change_bounds(self._clock(), settings.bounds)
+        self._list_client.address = settings.cloud_api.address
+        if self._runtime is not None:
+            self._runtime.replica.update_seeds(_seeds(settings))
+
+    # What the operator's API asks
+
+    def submit(self, base_version: int, version: int, body: bytes, digest: bytes) -> asyncio.Future[Outcome]:
+        """Order a configuration."""
+        if self._runtime is None:
+            return _unsure()
+        return self._runtime.submit(base_version, version, body, digest)
+
+    def read(self) -> asyncio.Future[Outcome]:
+        """The newest acknowledged configuration."""
+        return _unsure() if self._runtime is None else self._runtime.read()
+
+    # What the replica has come to
+
+    def committed(self, configuration: CommittedConfiguration) -> None:
+        """A newer configuration is known to stay."""
+        now = self._clock()
+        self._quota.committed(now, configuration.body)
+        sequence, version, body = configuration.sequence, configuration.version, configuration.body
+        self._send_all(self._publisher.committed(now, sequence, version, body))
+
+    def lease_gained(self, term: int) -> None:
+        """This machine leads from here on."""
+        now = self._clock()
+        logger.info("leads with term {}", term)
+        self._quota.lease_gained(now)
+        self._send_all(self._publisher.lease_gained(now, term))
+
+    def lease_lost(self) -> None:
+        """This machine leads no more."""
+        logger.info("leads no more")
+        self._send_all(self._publisher.lease_lost(self._clock()))
+
+    # Running
+
+    async def _run(self) -> None:
+        store, saved = await self._load()
+        loop = asyncio.get_running_loop()
+        self._writer = StoreWriter(store, loop.call_soon_threadsafe, self._clock)
+        self._writer.start()
+        replica = Replica(_replica_config(self._settings), saved, self._clock(), self._draw)
+        snapshot_first = not store.appendable
+        self._runtime = ReplicaRuntime(replica, self._writer, self._send_core, self, self._clock, snapshot_first)
+        self._runtime.start()
+        logger.info("replica {} of {} records", replica.identity.id, len(saved))
+        self._tasks.append(asyncio.create_task(self._reader().run(), name="list"))
+        while True:
+            began = self._clock()
+            self._tick(self._runtime)
+            await asyncio.sleep(TICK_S)
+            if self._clock() - began > LATE_TICK_S:
+                logger.warning("the loop stood still for {:.1f} s", self._clock() - began)
+
+    async def _load(self) -> tuple[RecordStore, list[bytes]]:
+        """Load the records in a thread; a disk that hangs doesn't hold up the loop."""
+        path = self._settings.data_dir
+        while True:
+            loaded = await load_records(DiskFolder(path))
+            if not isinstance(loaded, Failure):
+                return loaded.unwrap()
+            logger.warning("records: {}", loaded.failure())
+            await asyncio.sleep(LOAD_RETRY_S)
+
+    def _reader(self) -> ListReader:
+        rate = self._settings.cloud_api.rate_per_s
+        return ListReader(self._list_client.fetch, rate, self._leads, self._take_list, self._draw, self._clock)
+
+    def _leads(self) -> bool:
+        return self._runtime is not None and self._runtime.replica.is_leader(self._clock())
+
+    def _take_list(self, servers: Sequence[ListedServer]) -> None:
+        self._send_all(self._publisher.servers(self._clock(), servers))
+
+    def _tick(self, runtime: ReplicaRuntime) -> None:
+        runtime.tick()
+        now = self._clock()
+        self._inform_publisher(now, runtime.replica)
+        self._send_all(self._publisher.tick(now))
+
+    def _inform_publisher(self, now: float, replica: Replica) -> None:
+        """What the replica knows at this moment, for the answers to edges."""
+        fresh = replica.freshness(now)
+        if fresh is not None:
+            self._publisher.freshness(now, *fresh)
+        leader = replica.leader_hint()
+        other = leader is not None and leader.id != replica.identity.id
+        self._publisher.redirect(leader.peer_address if leader is not None and other else None)
+        core = tuple(CoreAddress(one.id, one.peer_address, one.control_address) for one in replica.core_machines())
+        if core != self._core:
+            self._core = core
+            self._publisher.core(core)
+
+    # Links
+
+    def _received(self, connection: LinkConnection, kind: Kind, data: bytes) -> None:
+        if kind == Kind.COORDINATION:
+            if self._runtime is not None:
+                self._runtime.receive(CoreMessage.FromString(data))
+            return
+        now = self._clock()
+        if self._runtime is not None:
+            self._inform_publisher(now, self._runtime.replica)
+        self._send_all(self._publisher.receive(now, connection, pb.Distribution.FromString(data)))
+
+    def _closed(self, connection: LinkConnection) -> None:
+        self._publisher.connection_closed(self._clock(), connection)
+
+    def _send_core(self, address: str, message: CoreMessage) -> None:
+        self._pool.send(address, Kind.COORDINATION, message.SerializeToString())
+
+    def _send_all(self, sends: Sequence[Send]) -> None:
+        for send in sends:
+            data = send.message.SerializeToString()
+            if isinstance(send.connection, LinkConnection):
+                send.connection.send(Kind.DISTRIBUTION, data)
+            elif isinstance(send.connection, Dialed):
+                self._pool.send(send.connection.address, Kind.DISTRIBUTION, data)
+
+
+def _unsure() -> asyncio.Future[Outcome]:
+    answer: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+    answer.set_result(Unsure())
+    return answer
+
+
+def _seeds(settings: ProcessSettings) -> tuple[tuple[str, str], ...]:
+    return tuple(zip(settings.seeds, settings.seed_peers, strict=True))
+
+
+def _replica_config(settings: ProcessSettings) -> ReplicaConfig:
+    return ReplicaConfig(
+        name=settings.node_name,
+        zone=settings.zone,
+        control_address=settings.listen.control,
+        peer_address=settings.core_link_address,
+        bootstrap=settings.bootstrap,
+        seeds=_seeds(settings),
+    )
--- /dev/null
+++ b/rosechute/control/list_reader.py
@@ -0,0 +1,92 @@
+"""Reads the platform's list of servers while this machine holds the leader lease.
+
+A reading takes all pages. It counts only if the lease holds before each call and before the result is used. The
+list that was read last stays where a reading fails.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from rosechute.distribution.values import ListedServer
+
+from .list_page import ListProblem, Page
+
+INTERVAL_S = 0.5
+JITTER = 0.1  # of the interval, to either side
+RETRY_S = 0.25
+IDLE_S = 0.05  # how often the lease is looked at while another machine holds it
+RATE_SHARE = 0.4  # of the calls that the platform takes from all machines
+SLOWEST_RATE_PER_S = 0.2  # so that a platform that tells no rate is still asked
+MOST_PAGES = 10_000
+
+Fetch = Callable[[str | None], Awaitable[Result[Page, ListProblem]]]
+
+
+class ListReader:
+    """One reading after the other; `step` does one and tells how long to wait before the next."""
+
+    def __init__(
+        self,
+        fetch: Fetch,
+        rate_per_s: float,
+        holds_lease: Callable[[], bool],
+        deliver: Callable[[Sequence[ListedServer]], None],
+        draw: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._fetch = fetch
+        self._call_s = 1.0 / max(rate_per_s * RATE_SHARE, SLOWEST_RATE_PER_S)
+        self._holds_lease = holds_lease
+        self._deliver = deliver
+        self._draw = draw
+        self._clock = clock
+        self._failing = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            await asyncio.sleep(await self.step())
+
+    async def step(self) -> float:
+        """One reading, if this machine holds the lease. Returns the seconds until the next."""
+        if not self._holds_lease():
+            return IDLE_S
+        began = self._clock()
+        calls, read = await self._read_pages()
+        if isinstance(read, Failure):
+            self._tell(read.failure())
+            return max(RETRY_S * self._jitter(), calls * self._call_s)
+        if not self._holds_lease():
+            return IDLE_S
+        self._failing = False
+        self._deliver(read.unwrap())
+        wait = max(INTERVAL_S * self._jitter(), calls * self._call_s)
+        return max(0.0, wait - (self._clock() - began))
+
+    async def _read_pages(self) -> tuple[int, Result[list[ListedServer], ListProblem]]:
+        servers: list[ListedServer] = []
+        token: str | None = None
+        for calls in range(1, MOST_PAGES):
+            fetched = await self._fetch(token)
+            if isinstance(fetched, Failure):
+                return calls, Failure(fetched.failure())
+            page, now = fetched.unwrap(), self._clock()
+            servers += [instance.listed(now) for instance in page.instances]
+            token = page.next_token
+            if not token:
+                return calls, Success(servers)
+            if not self._holds_lease():
+                return calls, Failure(ListProblem("read the list", "", "the leader lease ended between two pages"))
+        return MOST_PAGES, Failure(ListProblem("read the list", "", "the pages don't end"))
+
+    def _jitter(self) -> float:
+        return 1.0 + JITTER * (2.0 * self._draw() - 1.0)
+
+    def _tell(self, problem: ListProblem) -> None:
+        """Log the first of several failures only: logging costs processor time."""
+        if not self._failing:
+            logger.warning("list of servers: {}", problem)
+        self._failing = True
--- /dev/null
+++ b/rosechute/control/operator_api.py
@@ -0,0 +1,148 @@
+"""The operator's API: orders a configuration and reads the newest one.
+
+A call always gets an answer within `ANSWER_WITHIN_S`. A 4xx ends the operator's call, so one is given only
+where it is certain; while unsure the answer is 503, or 307 to the machine that may know.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+from returns.result import Failure
+
+from rosechute.configuration.operator import parse
+from rosechute.coordination.types import (
+    Acknowledged,
+    Configuration,
+    Elsewhere,
+    NoConfiguration,
+    Outcome,
+    Stale,
+    Unsure,
+)
+
+from .orders import Chain, order_digest
+
+REPLACE_PATH = "/config/replace"
+READ_PATH = "/config/read"
+BASE_VERSION_HEADER = "X-Rosechute-Base-Version"
+ANSWER_WITHIN_S = 0.9
+RETRY_AFTER_S = 0.2
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+HIGHEST_VERSION = 2**63 - 1
+
+
+class ApiError(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of an answer that isn't a success."""
+
+    error: str
+    place: str = ""
+    current_version: int | None = None
+
+
+class OperatorApi:
+    """Serves the control address of this machine."""
+
+    def __init__(self, chain: Chain, control_address: str) -> None:
+        self._chain = chain
+        self._control_address = control_address
+        self._runner: web.AppRunner | None = None
+
+    def application(self) -> web.Application:
+        """The routes of the API."""
+        application = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        application.router.add_post(REPLACE_PATH, self.replace)
+        application.router.add_get(READ_PATH, self.read)
+        return application
+
+    async def start(self) -> None:
+        """Listen; raises OSError where the address is taken."""
+        host, _, port = self._control_address.rpartition(":")
+        self._runner = web.AppRunner(self.application(), access_log=None, handle_signals=False, shutdown_timeout=0.2)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def replace(self, request: web.Request) -> web.Response:
+        """`POST /config/replace`: take a whole configuration."""
+        try:
+            async with asyncio.timeout(ANSWER_WITHIN_S):
+                return await self._replace(request)
+        except TimeoutError:
+            return _unsure("the order was not settled in time")
+
+    async def read(self, request: web.Request) -> web.Response:
+        """`GET /config/read`: the newest acknowledged configuration, byte for byte as it was sent."""
+        outcome = await _within(self._chain.read())
+        if isinstance(outcome, Configuration):
+            return web.Response(body=outcome.body, content_type="application/json")
+        if isinstance(outcome, NoConfiguration):
+            return _error(404, ApiError("no configuration has been taken yet"))
+        return self._undecided(outcome, READ_PATH)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        base_version = _base_version(request)
+        if base_version is None:
+            return _error(400, ApiError("needs the version that the configuration builds on", BASE_VERSION_HEADER))
+        body = await request.read()
+        parsed = parse(body)
+        if isinstance(parsed, Failure):
+            problem = parsed.failure()
+            return _error(400, ApiError(problem.reason, problem.place))
+        version = parsed.unwrap().config_version
+        outcome = await self._chain.submit(base_version, version, body, order_digest(base_version, body))
+        return self._settled(outcome, base_version, version)
+
+    def _settled(self, outcome: Outcome, base_version: int, version: int) -> web.Response:
+        if isinstance(outcome, Acknowledged):
+            logger.info("configuration {} on top of {} acknowledged", version, base_version)
+            return _json(200, {"config_version": outcome.version})
+        if isinstance(outcome, Stale):
+            return _refused(outcome.current_version, base_version, version)
+        return self._undecided(outcome, REPLACE_PATH)
+
+    def _undecided(self, outcome: Outcome, path: str) -> web.Response:
+        if isinstance(outcome, Elsewhere) and outcome.control_address not in ("", self._control_address):
+            return web.Response(status=307, headers={"Location": f"http://{outcome.control_address}{path}"})
+        return _unsure("the core has not settled who answers this")
+
+
+async def _within(answer: Awaitable[Outcome]) -> Outcome:
+    try:
+        async with asyncio.timeout(ANSWER_WITHIN_S):
+            return await answer
+    except TimeoutError:
+        return Unsure()
+
+
+def _base_version(request: web.Request) -> int | None:
+    text = request.headers.get(BASE_VERSION_HEADER, "")
+    if not text.isascii() or not text.isdecimal() or int(text) > HIGHEST_VERSION:
+        return None
+    return int(text)
+
+
+def _refused(current: int, base_version: int, version: int) -> web.Response:
+    if base_version == current:
+        reason = f"must be above {current}, the current version"
+        return _error(400, ApiError(reason, "config_version", current))
+    return _error(412, ApiError(f"version {current} is current, not {base_version}", "", current))
+
+
+def _unsure(reason: str) -> web.Response:
+    return _json(503, ApiError(reason), {"Retry-After": str(RETRY_AFTER_S)})
+
+
+def _error(status: int, error: ApiError) -> web.Response:
+    return _json(status, error)
+
+
+def _json(status: int, body: object, headers: dict[str, str] | None = None) -> web.Response:
+    encoded = msgspec.json.encode(body)
+    return web.Response(status=status, body=encoded, headers=headers, content_type="application/json")
--- /dev/null
+++ b/rosechute/control/quota_service.py
@@ -0,0 +1,60 @@
+"""Quotas of the operator's configuration, and answers to what edges ask of them."""
+
+from collections.abc import Mapping
+
+from returns.result import Failure
+
+from rosechute.configuration.operator import Configuration, parse
+from rosechute.configuration.process import Bounds
+from rosechute.messages import distribution_pb2 as pb
+
+from .quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+
+
+class QuotaService:
+    """The issuer of one core machine, under the newest configuration."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self._issuer = QuotaIssuer(_bounds(bounds))
+
+    def committed(self, now: float, body: bytes) -> None:
+        """A newer configuration is in force."""
+        parsed = parse(body)
+        if not isinstance(parsed, Failure):
+            self._issuer.configure(now, _limits(parsed.unwrap()))
+
+    def lease_gained(self, now: float) -> None:
+        """This machine leads from here on."""
+        self._issuer.lease_gained(now)
+
+    def change_bounds(self, now: float, bounds: Bounds) -> None:
+        """The settings name other bounds."""
+        self._issuer.change_bounds(now, _bounds(bounds))
+
+    def answer(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
+        """Issue what an edge asks for, as far as it may have it. Only while this machine leads."""
+        wanted = [Wanted(each.tenant, each.tokens, each.least) for each in request.wanted]
+        issue = pb.QuotaIssue(request=request.request)
+        for issued in self._issuer.issue(now, request.edge, wanted):
+            issue.issued.add(
+                tenant=issued.tenant,
+                tokens=issued.tokens,
+                lifetime_ms=issued.lifetime_ms,
+                retry_after_ms=issued.retry_after_ms,
+            )
+        return issue
+
+
+def _bounds(bounds: Bounds) -> QuotaBounds:
+    return QuotaBounds(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
+
+
+def _limits(configuration: Configuration) -> Mapping[str, TenantLimit | None]:
+    """The slack is counted in tokens where any tenant counts tokens."""
+    in_tokens = any(tenant.counts_tokens for tenant in configuration.tenants)
+    return {
+        tenant.name: TenantLimit(tenant.rate_per_s, tenant.burst, tenant.counts_tokens or not in_tokens)
+        if tenant.limited
+        else None
+        for tenant in configuration.tenants
+    }
--- /dev/null
+++ b/rosechute/processes/core.py
@@ -0,0 +1,89 @@
+"""The program of a core machine. `ROSECHUTE_NODE_FILE` names its settings file."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from loguru import logger
+from returns.result import Failure
+
+from rosechute.configuration.process import SETTINGS_VARIABLE, ProcessSettings, load, load_from_environment
+from rosechute.control.core_machine import CoreMachine
+
+SETTINGS_POLL_S = 1.0
+STOP_WITHIN_S = 0.8
+LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
+
+
+class CoreProcess:
+    """One life of the program: start, settings that change, end."""
+
+    def __init__(self, settings: ProcessSettings, path: str) -> None:
+        self._settings = settings
+        self._path = path
+        self._read: tuple[int, int] = _version_of(path)
+        self._machine = CoreMachine(settings)
+        self._ends = asyncio.Event()
+
+    async def run(self) -> None:
+        """Until SIGTERM or SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._ends.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self._machine.start()
+        logger.info("core machine {} listens at {}", self._settings.node_name, self._settings.listen.control)
+        poll = asyncio.create_task(self._poll())
+        await self._ends.wait()
+        poll.cancel()
+        await asyncio.wait_for(self._machine.stop(), STOP_WITHIN_S)
+
+    def reload(self) -> None:
+        """Read the settings file again; one that can't be used changes nothing."""
+        self._read = _version_of(self._path)
+        loaded = load(self._path)
+        if isinstance(loaded, Failure):
+            logger.warning("settings: {}", loaded.failure())
+        elif loaded.unwrap() != self._settings:
+            self._settings = loaded.unwrap()
+            self._machine.change_settings(self._settings)
+            logger.info("settings changed")
+
+    async def _poll(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            if _version_of(self._path) != self._read:
+                self.reload()
+
+
+def main() -> int:
+    """Run the program; the exit status."""
+    logger.remove()
+    logger.add(sys.stderr, format=LOG_FORMAT, level="INFO")
+    loaded = load_from_environment()
+    if isinstance(loaded, Failure):
+        logger.error("settings: {}", loaded.failure())
+        return 2
+    try:
+        asyncio.run(_run(loaded.unwrap(), os.environ[SETTINGS_VARIABLE]))
+    except TimeoutError:
+        logger.warning("ended without having closed everything")
+    return 0
+
+
+async def _run(settings: ProcessSettings, path: str) -> None:
+    await CoreProcess(settings, path).run()
+
+
+def _version_of(path: str) -> tuple[int, int]:
+    """Changes when the file does."""
+    try:
+        told = os.stat(path)
+    except OSError:
+        return (0, 0)
+    return (told.st_mtime_ns, told.st_size)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
