--- a/rosechute/control/replica_runtime.py
+++ b/rosechute/control/replica_runtime.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self._snapshot_first = snapshot_first
         self._compacting = False
+        self._failing = False
         self._waiting: dict[int, asyncio.Future[Outcome]] = {}
         self._requests = 0
 
@@ -148,10 +149,18 @@
 
     def _written(self, token: int, outcome: WriteOutcome) -> None:
         now = self._clock()
+        self._tell(outcome)
         if isinstance(outcome, Failure):
-            if not self._snapshot_first:
-                logger.warning("records: {}", outcome.failure())
             self._snapshot_first = True
             self._act(self.replica.persist_failed(now, token))
         else:
             self._act(self.replica.persisted(now, token))
+
+    def _tell(self, outcome: WriteOutcome) -> None:
+        """Log the first of several failures, and the end of them."""
+        failing = isinstance(outcome, Failure)
+        if failing and not self._failing:
+            logger.warning("records: {}", outcome.failure())
+        elif self._failing and not failing:
+            logger.info("records are written again")
+        self._failing = failing
--- /dev/null
+++ b/tests/fleet/test_control_list_reader.py
@@ -0,0 +1,106 @@
+"""The reader of the platform's list: only under the lease, whole lists only, within its share of the rate."""
+
+import json
+from collections.abc import Sequence
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from returns.result import Failure, Result, Success
+
+from rosechute.control.list_page import Instance, ListProblem, Page, read_page
+from rosechute.control.list_reader import IDLE_S, INTERVAL_S, RETRY_S, ListReader
+from rosechute.distribution.values import ListedServer
+
+RATE_PER_S = 40.0
+
+
+class FakePlatform:
+    """Pages of a list, calls that fail, and a lease that ends after some calls."""
+
+    def __init__(self, pages: int = 1) -> None:
+        self.pages = pages
+        self.calls = 0
+        self.failing = False
+        self.lease_ends_after_calls = 10**9
+        self.call_s = 0.0
+        self.now = 100.0
+
+    async def fetch(self, token: str | None) -> Result[Page, ListProblem]:
+        self.calls += 1
+        self.now += self.call_s
+        if self.failing:
+            return Failure(ListProblem("fetch", "10.0.0.1:1", "status 429"))
+        number = int(token or 0)
+        following = str(number + 1) if number + 1 < self.pages else None
+        return Success(Page((Instance(f"i-{number}", "s", f"10.0.0.{number}:1", cold_remaining_ms=500),), following))
+
+    def leads(self) -> bool:
+        return self.calls < self.lease_ends_after_calls
+
+
+class ListReaderTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.delivered: list[list[ListedServer]] = []
+
+    def reader(self, platform: FakePlatform, rate: float = RATE_PER_S) -> ListReader:
+        def deliver(servers: Sequence[ListedServer]) -> None:
+            self.delivered.append(list(servers))
+
+        return ListReader(platform.fetch, rate, platform.leads, deliver, lambda: 0.5, lambda: platform.now)
+
+    async def test_all_pages_are_one_list(self) -> None:
+        platform = FakePlatform(3)
+        await self.reader(platform).step()
+        self.assertEqual([[server.id for server in each] for each in self.delivered], [["i-0", "i-1", "i-2"]])
+
+    async def test_nothing_is_asked_without_the_lease(self) -> None:
+        platform = FakePlatform()
+        platform.lease_ends_after_calls = 0
+        self.assertEqual(await self.reader(platform).step(), IDLE_S)
+        self.assertEqual((platform.calls, self.delivered), (0, []))
+
+    async def test_a_reading_counts_only_if_the_lease_still_holds(self) -> None:
+        for pages in (1, 2, 4):
+            platform = FakePlatform(pages)
+            platform.lease_ends_after_calls = 1
+            await self.reader(platform).step()
+            self.assertEqual((platform.calls, self.delivered), (1, []))
+
+    async def test_a_failure_keeps_the_last_list_and_is_tried_again_soon(self) -> None:
+        platform = FakePlatform()
+        platform.failing = True
+        self.assertEqual(await self.reader(platform).step(), RETRY_S)
+        self.assertEqual(self.delivered, [])
+
+    async def test_calls_stay_within_the_share_of_the_rate(self) -> None:
+        for pages, rate, failing in ((1, 40.0, False), (30, 40.0, False), (3, 2.0, False), (1, 4.0, True)):
+            platform = FakePlatform(pages)
+            platform.failing = failing
+            reader = self.reader(platform, rate)
+            waited = 0.0
+            for _ in range(50):
+                waited += await reader.step()
+            self.assertLessEqual(platform.calls, 0.4 * rate * waited * 1.001, (pages, rate))
+
+    async def test_the_interval_counts_from_the_start_of_a_reading(self) -> None:
+        platform = FakePlatform(2)
+        platform.call_s = 0.1
+        self.assertAlmostEqual(await self.reader(platform).step(), INTERVAL_S - 0.2)
+
+    async def test_the_rest_of_a_cold_start_is_kept_as_a_time(self) -> None:
+        platform = FakePlatform()
+        await self.reader(platform).step()
+        self.assertAlmostEqual(self.delivered[0][0].cold_until, platform.now + 0.5)
+
+
+class ListPageTest(TestCase):
+    def test_an_entry_as_the_platform_tells_it(self) -> None:
+        entry = {"service": "s", "address": "10.128.0.9:8080", "zone": "z", "config_version": "v1", "slots": 64}
+        entry |= {"state": "draining", "cold_remaining_ms": 0, "stage": "dual", "models": [], "id": "i-7"}
+        page = read_page(json.dumps({"instances": [entry], "next_token": "p-50"}).encode(), "peer").unwrap()
+        self.assertEqual(page.next_token, "p-50")
+        listed = page.instances[0].listed(5.0)
+        self.assertEqual(listed, ListedServer("i-7", "s", "10.128.0.9:8080", "z", 64, False, 5.0))
+
+    def test_what_is_no_page(self) -> None:
+        for data in (b"", b"{", b"[]", b'{"instances": [{}]}', b'{"instances": 3}', b"\xff"):
+            self.assertEqual(read_page(data, "10.0.0.1:1").failure().peer, "10.0.0.1:1")
--- /dev/null
+++ b/tests/fleet/test_control_operator_api.py
@@ -0,0 +1,140 @@
+"""The operator's API, over loopback: which answer follows from which outcome, and that one always comes in time."""
+
+import asyncio
+import json
+from typing import Any
+from unittest import IsolatedAsyncioTestCase, mock
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from rosechute.control import operator_api
+from rosechute.control.operator_api import BASE_VERSION_HEADER, READ_PATH, REPLACE_PATH, OperatorApi
+from rosechute.control.orders import order_digest
+from rosechute.coordination.types import (
+    Acknowledged,
+    Configuration,
+    Elsewhere,
+    NoConfiguration,
+    Outcome,
+    Stale,
+    Unsure,
+)
+
+OWN = "127.0.0.1:8367"
+
+
+def body(version: int, **changes: Any) -> bytes:
+    route = {"name": "r", "host": "h", "path_prefix": "/a/", "timeout_ms": 1000, "service": "s"}
+    whole = {"config_version": version, "routes": [{**route, **changes}], "services": [{"name": "s"}]}
+    return json.dumps(whole, indent=1).encode()
+
+
+class FakeChain:
+    """Gives the outcome it was told, or none at all."""
+
+    def __init__(self) -> None:
+        self.outcome: Outcome | None = None
+        self.orders: list[tuple[int, int, bytes, bytes]] = []
+
+    def submit(self, base_version: int, version: int, body: bytes, digest: bytes) -> "asyncio.Future[Outcome]":
+        self.orders.append((base_version, version, body, digest))
+        return self.read()
+
+    def read(self) -> "asyncio.Future[Outcome]":
+        answer: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        if self.outcome is not None:
+            answer.set_result(self.outcome)
+        return answer
+
+
+class OperatorApiTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.chain = FakeChain()
+        self.server = TestServer(OperatorApi(self.chain, OWN).application())
+        await self.server.start_server()
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.server.close()
+
+    async def replace(self, data: bytes, base: str | None = "5") -> tuple[int, Any, "aiohttp.typedefs.LooseHeaders"]:
+        headers = {} if base is None else {BASE_VERSION_HEADER: base}
+        url = self.server.make_url(REPLACE_PATH)
+        async with self.session.post(url, data=data, headers=headers, allow_redirects=False) as answer:
+            told = await answer.read()
+            return answer.status, json.loads(told) if told else None, answer.headers
+
+    async def read(self) -> tuple[int, bytes, Any]:
+        async with self.session.get(self.server.make_url(READ_PATH), allow_redirects=False) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+    async def test_taken(self) -> None:
+        self.chain.outcome = Acknowledged(7)
+        status, told, _ = await self.replace(body(7))
+        self.assertEqual((status, told), (200, {"config_version": 7}))
+        self.assertEqual(self.chain.orders, [(5, 7, body(7), order_digest(5, body(7)))])
+
+    async def test_stale(self) -> None:
+        self.chain.outcome = Stale(6)
+        status, told, _ = await self.replace(body(7))
+        self.assertEqual((status, told["current_version"]), (412, 6))
+
+    async def test_version_not_above_the_current_one(self) -> None:
+        self.chain.outcome = Stale(5)
+        for version in (5, 4):
+            status, told, _ = await self.replace(body(version))
+            self.assertEqual((status, told["place"]), (400, "config_version"))
+
+    async def test_invalid_ones_never_reach_the_chain(self) -> None:
+        self.chain.outcome = Acknowledged(7)
+        cases = ((b"{", ""), (b"", ""), (body(7, timeout_ms=0), "routes[0].timeout_ms"))
+        cases += ((body(7, service="other"), "routes[0].service"),)
+        for data, place in cases:
+            status, told, _ = await self.replace(data)
+            self.assertEqual((status, told.get("place", "")), (400, place), data)
+        self.assertEqual(self.chain.orders, [])
+
+    async def test_base_version_that_is_none(self) -> None:
+        for base in (None, "", "-1", "x", "9" * 30):
+            status, told, _ = await self.replace(body(7), base)
+            self.assertEqual((status, told["place"]), (400, BASE_VERSION_HEADER), base)
+
+    async def test_sent_on_to_the_machine_that_knows(self) -> None:
+        self.chain.outcome = Elsewhere("10.0.0.4:8367")
+        status, _, headers = await self.replace(body(7))
+        self.assertEqual((status, headers["Location"]), (307, "http://10.0.0.4:8367/config/replace"))
+        status, _, headers = await self.read()
+        self.assertEqual((status, headers["Location"]), (307, "http://10.0.0.4:8367/config/read"))
+
+    async def test_never_sent_on_to_itself(self) -> None:
+        self.chain.outcome = Elsewhere(OWN)
+        self.assertEqual((await self.replace(body(7)))[0], 503)
+        self.assertEqual((await self.read())[0], 503)
+
+    async def test_unsure(self) -> None:
+        self.chain.outcome = Unsure()
+        status, _, headers = await self.replace(body(7))
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual((await self.read())[0], 503)
+
+    async def test_an_answer_comes_where_the_chain_gives_none(self) -> None:
+        with mock.patch.object(operator_api, "ANSWER_WITHIN_S", 0.01):
+            self.assertEqual((await self.replace(body(7)))[0], 503)
+            self.assertEqual((await self.read())[0], 503)
+
+    async def test_read_is_byte_for_byte(self) -> None:
+        self.chain.outcome = Configuration(3, 7, body(7), b"")
+        status, told, _ = await self.read()
+        self.assertEqual((status, told), (200, body(7)))
+
+    async def test_read_before_the_first_configuration(self) -> None:
+        self.chain.outcome = NoConfiguration()
+        self.assertEqual((await self.read())[0], 404)
+
+    async def test_a_large_configuration_is_taken(self) -> None:
+        self.chain.outcome = Acknowledged(7)
+        data = body(7, padding="x" * (5 * 1024 * 1024))
+        self.assertEqual((await self.replace(data))[0], 200)
--- /dev/null
+++ b/tests/fleet/test_control_runtime.py
@@ -0,0 +1,169 @@
+"""Replica, runtime and record store together: troubles of disks and processes, orders that must stay."""
+
+import asyncio
+import random
+from unittest import IsolatedAsyncioTestCase, mock
+
+from rosechute.control import replica_runtime
+from rosechute.coordination.types import Acknowledged, Stale
+from rosechute.storage.layout import encode_slot
+
+from .simulated_core import SimulatedCore, SimulatedMachine
+
+ACK_S = 4.0
+SEEDS = 6
+
+
+class RuntimeTest(IsolatedAsyncioTestCase):
+    async def cluster(self, machines: int = 3, seed: int = 0) -> SimulatedCore:
+        core = SimulatedCore(machines, seed)
+        self.assertEqual(await core.order(0, 1, ACK_S), Acknowledged(1))
+        return core
+
+    async def test_taken_and_read_back(self) -> None:
+        for machines in (3, 4, 5):
+            core = await self.cluster(machines)
+            self.assertEqual(await core.order(1, 4, ACK_S), Acknowledged(4))
+            read = await core.read(ACK_S)
+            assert read is not None
+            self.assertEqual((read.version, read.body), (4, b"4 on 1 "))
+
+    async def test_the_same_order_again_is_acknowledged_and_another_one_refused(self) -> None:
+        core = await self.cluster()
+        await core.order(1, 2, ACK_S)
+        await core.order(2, 3, ACK_S)
+        self.assertEqual(await core.order(1, 2, ACK_S), Acknowledged(2))
+        self.assertEqual(await core.order(1, 2, ACK_S, "of another operator"), Stale(3))
+        self.assertEqual(await core.order(3, 3, ACK_S), Stale(3))
+
+    async def test_one_of_eight_orders_at_once_wins(self) -> None:
+        core = await self.cluster()
+        orders = [core.order(1, 2 + number, ACK_S) for number in range(8)]
+        outcomes = await asyncio.gather(*orders)
+        self.assertEqual(sum(isinstance(each, Acknowledged) for each in outcomes), 1)
+        self.assertEqual(sum(isinstance(each, Stale) for each in outcomes), 7)
+
+    async def test_full_disk_of_any_machine(self) -> None:
+        for number in range(3):
+            core = await self.cluster(seed=number)
+            machine = core.machines[number]
+            machine.disk_full = True
+            self.assertEqual(await core.order(1, 2, ACK_S), Acknowledged(2))
+            machine.disk_full = False
+            await core.run_for(4.0)
+            self.assertEqual(await core.order(2, 3, ACK_S), Acknowledged(3))
+            for each in core.machines:
+                each.kill(power=True)
+                each.start()
+            read = await core.read(ACK_S + 2.0)
+            self.assertEqual(read and read.version, 3)
+
+    async def test_hung_disk_of_any_machine(self) -> None:
+        for number in range(3):
+            core = await self.cluster(seed=number)
+            core.machines[number].disk_hangs = True
+            self.assertEqual(await core.order(1, 2, ACK_S), Acknowledged(2))
+            core.machines[number].disk_hangs = False
+            await core.run_for(4.0)
+            self.assertEqual(await core.order(2, 3, ACK_S), Acknowledged(3))
+
+    async def test_slow_disks(self) -> None:
+        core = await self.cluster()
+        for machine in core.machines:
+            machine.sync_s = 0.12
+        for version in range(2, 6):
+            self.assertEqual(await core.order(version - 1, version, ACK_S), Acknowledged(version))
+
+    async def test_all_lose_power_right_after_an_acknowledgement(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            for version in range(2, 6):
+                self.assertEqual(await core.order(version - 1, version, ACK_S + 2.0), Acknowledged(version))
+                for machine in core.machines:
+                    machine.kill(power=True)
+                for machine in core.draw.sample(core.machines, 3):
+                    machine.start()
+                    await core.run_for(core.draw.choice((0.0, 0.3)))
+                read = await core.read(ACK_S + 2.0)
+                self.assertEqual(read and read.version, version, seed)
+
+    async def test_a_wiped_machine_and_power_loss_of_the_others(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            for version in range(2, 5):
+                self.assertEqual(await core.order(version - 1, version, ACK_S + 2.0), Acknowledged(version))
+                wiped = core.draw.choice(core.machines)
+                for machine in core.machines:
+                    machine.wipe() if machine is wiped else machine.kill(power=True)
+                for machine in core.machines:
+                    machine.start()
+                read = await core.read(8.0)
+                self.assertEqual(read and read.version, version, seed)
+                await core.run_for(4.0)
+
+    async def test_the_log_stays_short_and_the_snapshot_is_whole(self) -> None:
+        with mock.patch.object(replica_runtime, "LOG_LIMIT_BYTES", 2_000):
+            core = await self.cluster()
+            for version in range(2, 60):
+                self.assertEqual(await core.order(version - 1, version, ACK_S), Acknowledged(version))
+            for machine in core.machines:
+                assert machine.records is not None
+                self.assertLess(machine.records.log_size, 8_000)
+                machine.kill(power=True)
+                machine.start()
+            read = await core.read(ACK_S + 2.0)
+            self.assertEqual(read and read.version, 59)
+
+    async def test_troubles_at_random(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(random.Random(seed).choice((3, 4, 5)), seed)
+            version = 1
+            for _ in range(8):
+                self.trouble(core, core.draw.choice(core.machines))
+                outcome = await core.order(version, version + 1, core.draw.choice((0.3, 2.0, 6.0)))
+                self.heal(core)
+                if outcome is None:
+                    outcome = await core.order(version, version + 1, 8.0)
+                self.assertEqual(outcome, Acknowledged(version + 1), seed)
+                version += 1
+                read = await core.read(8.0)
+                self.assertEqual(read and read.version, version, seed)
+
+    def trouble(self, core: SimulatedCore, machine: SimulatedMachine) -> None:
+        kind = core.draw.randrange(7)
+        if kind == 0:
+            machine.kill()
+        elif kind == 1:
+            for each in core.machines:
+                each.kill(power=core.draw.random() < 0.7)
+        elif kind == 2:
+            machine.disk_full = True
+        elif kind == 3:
+            machine.disk_hangs = True
+        elif kind == 4:
+            machine.frozen = True
+        elif kind == 5:
+            core.cut = {machine.control}
+        else:
+            machine.sync_s = 0.3
+
+    def heal(self, core: SimulatedCore) -> None:
+        core.cut = set()
+        for machine in core.machines:
+            machine.disk_full = machine.disk_hangs = machine.frozen = False
+            machine.sync_s = 0.005
+            if machine.runtime is None:
+                machine.start()
+
+
+class SnapshotTest(IsolatedAsyncioTestCase):
+    async def test_a_snapshot_is_not_followed_by_what_it_holds(self) -> None:
+        with mock.patch.object(replica_runtime, "LOG_LIMIT_BYTES", 0):
+            core = SimulatedCore(3, 1)
+            for version in range(1, 8):
+                self.assertEqual(await core.order(version - 1, version, ACK_S), Acknowledged(version))
+            for machine in core.machines:
+                assert machine.runtime is not None
+                self.assertLessEqual(max(machine.committed_sequences), 7)
+                self.assertEqual(len(machine.runtime.replica.snapshot()), 1)
+        self.assertGreater(len(encode_slot(1, core.machines[0].runtime.replica.snapshot())[0]), 0)
