Core machine: resign at the end, no answers as leader after a freeze

After a freeze a message of an edge may come before the replica's clock has moved on; the publisher then stops leading first. A slow body doesn't use up the time of the chain.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -15,7 +15,7 @@
 from rosechute.coordination.replica import Replica
 from rosechute.coordination.types import CommittedConfiguration, Outcome, ReplicaConfig, Unsure
 from rosechute.distribution.actions import Dialed, Send
-from rosechute.distribution.publisher import CoreAddress, Publisher
+from rosechute.distribution.publisher import CoreAddress, Publisher, PublisherState
 from rosechute.distribution.values import ListedServer
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.messages.coordination_pb2 import CoreMessage
@@ -33,6 +33,7 @@
 from .replica_runtime import TICK_S, ReplicaRuntime
 
 LOAD_RETRY_S = 0.2
+FAREWELL_S = 0.05  # for the last messages to leave before their links are closed
 LATE_TICK_S = 0.5  # a tick so late is worth a line in the log
 
 
@@ -66,7 +67,7 @@
             task.cancel()
         if self._runtime is not None:
             self._runtime.resign()
-            await asyncio.sleep(0)  # lets the links send it
+            await asyncio.sleep(FAREWELL_S)
         if self._writer is not None:
             self._writer.stop()
         await self._list_client.close()
@@ -111,6 +112,8 @@
 
     def lease_lost(self) -> None:
         """This machine leads no more."""
+        if self._publisher.state is not PublisherState.LEADER:
+            return
         logger.info("leads no more")
         self._send_all(self._publisher.lease_lost(self._clock()))
 
@@ -145,8 +148,12 @@
             await asyncio.sleep(LOAD_RETRY_S)
 
     def _reader(self) -> ListReader:
-        rate = self._settings.cloud_api.rate_per_s
-        return ListReader(self._list_client.fetch, rate, self._leads, self._take_list, self._draw, self._clock)
+        return ListReader(
+            self._list_client.fetch, self._list_rate, self._leads, self._take_list, self._draw, self._clock
+        )
+
+    def _list_rate(self) -> float:
+        return self._settings.cloud_api.rate_per_s
 
     def _leads(self) -> bool:
         return self._runtime is not None and self._runtime.replica.is_leader(self._clock())
@@ -161,7 +168,12 @@
         self._send_all(self._publisher.tick(now))
 
     def _inform_publisher(self, now: float, replica: Replica) -> None:
-        """What the replica knows at this moment, for the answers to edges."""
+        """What the replica knows at this moment, for the answers to edges.
+
+        After a freeze a message may come before the replica has noticed that its lease has run out.
+        """
+        if self._publisher.state is PublisherState.LEADER and not replica.is_leader(now):
+            self.lease_lost()
         fresh = replica.freshness(now)
         if fresh is not None:
             self._publisher.freshness(now, *fresh)
--- a/rosechute/control/list_reader.py
+++ b/rosechute/control/list_reader.py
@@ -31,14 +31,14 @@
     def __init__(
         self,
         fetch: Fetch,
-        rate_per_s: float,
+        rate_per_s: Callable[[], float],
         holds_lease: Callable[[], bool],
         deliver: Callable[[Sequence[ListedServer]], None],
         draw: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._fetch = fetch
-        self._call_s = 1.0 / max(rate_per_s * RATE_SHARE, SLOWEST_RATE_PER_S)
+        self._rate_per_s = rate_per_s
         self._holds_lease = holds_lease
         self._deliver = deliver
         self._draw = draw
@@ -58,12 +58,12 @@
         calls, read = await self._read_pages()
         if isinstance(read, Failure):
             self._tell(read.failure())
-            return max(RETRY_S * self._jitter(), calls * self._call_s)
+            return max(RETRY_S * self._jitter(), self._time_of(calls))
         if not self._holds_lease():
             return IDLE_S
         self._failing = False
         self._deliver(read.unwrap())
-        wait = max(INTERVAL_S * self._jitter(), calls * self._call_s)
+        wait = max(INTERVAL_S * self._jitter(), self._time_of(calls))
         return max(0.0, wait - (self._clock() - began))
 
     async def _read_pages(self) -> tuple[int, Result[list[ListedServer], ListProblem]]:
@@ -82,6 +82,10 @@
                 return calls, Failure(ListProblem("read the list", "", "the leader lease ended between two pages"))
         return MOST_PAGES, Failure(ListProblem("read the list", "", "the pages don't end"))
 
+    def _time_of(self, calls: int) -> float:
+        """Seconds over which so many calls have to be spread."""
+        return calls / max(self._rate_per_s() * RATE_SHARE, SLOWEST_RATE_PER_S)
+
     def _jitter(self) -> float:
         return 1.0 + JITTER * (2.0 * self._draw() - 1.0)
 
--- a/rosechute/control/operator_api.py
+++ b/rosechute/control/operator_api.py
@@ -1,7 +1,8 @@
 """The operator's API: orders a configuration and reads the newest one.
 
-A call always gets an answer within `ANSWER_WITHIN_S`. A 4xx ends the operator's call, so one is given only
-where it is certain; while unsure the answer is 503, or 307 to the machine that may know.
+A call gets an answer within `ANSWER_WITHIN_S`, unless its own body is slow to come. A 4xx ends the operator's
+call, so one is given only where it is certain; while unsure the answer is 503, or 307 to the machine that may
+know.
 """
 
 import asyncio
@@ -29,6 +30,8 @@
 READ_PATH = "/config/read"
 BASE_VERSION_HEADER = "X-Rosechute-Base-Version"
 ANSWER_WITHIN_S = 0.9
+READ_BODY_WITHIN_S = 3.0  # the operator waits longer where the body is large
+SHORTEST_WAIT_S = 0.5  # for the outcome, also after a body that came slowly
 RETRY_AFTER_S = 0.2
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 HIGHEST_VERSION = 2**63 - 1
@@ -71,34 +74,33 @@
 
     async def replace(self, request: web.Request) -> web.Response:
         """`POST /config/replace`: take a whole configuration."""
+        base_version = _base_version(request)
+        if base_version is None:
+            return _error(400, ApiError("needs the version that the configuration builds on", BASE_VERSION_HEADER))
+        began = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(ANSWER_WITHIN_S):
-                return await self._replace(request)
+            async with asyncio.timeout(READ_BODY_WITHIN_S):
+                body = await request.read()
         except TimeoutError:
-            return _unsure("the order was not settled in time")
+            return _unsure("the body did not come in time")
+        parsed = parse(body)
+        if isinstance(parsed, Failure):
+            problem = parsed.failure()
+            return _error(400, ApiError(problem.reason, problem.place))
+        version = parsed.unwrap().config_version
+        left = ANSWER_WITHIN_S - (asyncio.get_running_loop().time() - began)
+        submitted = self._chain.submit(base_version, version, body, order_digest(base_version, body))
+        return self._settled(await _within(submitted, max(left, SHORTEST_WAIT_S)), base_version, version)
 
     async def read(self, request: web.Request) -> web.Response:
         """`GET /config/read`: the newest acknowledged configuration, byte for byte as it was sent."""
-        outcome = await _within(self._chain.read())
+        outcome = await _within(self._chain.read(), ANSWER_WITHIN_S)
         if isinstance(outcome, Configuration):
             return web.Response(body=outcome.body, content_type="application/json")
         if isinstance(outcome, NoConfiguration):
             return _error(404, ApiError("no configuration has been taken yet"))
         return self._undecided(outcome, READ_PATH)
 
-    async def _replace(self, request: web.Request) -> web.Response:
-        base_version = _base_version(request)
-        if base_version is None:
-            return _error(400, ApiError("needs the version that the configuration builds on", BASE_VERSION_HEADER))
-        body = await request.read()
-        parsed = parse(body)
-        if isinstance(parsed, Failure):
-            problem = parsed.failure()
-            return _error(400, ApiError(problem.reason, problem.place))
-        version = parsed.unwrap().config_version
-        outcome = await self._chain.submit(base_version, version, body, order_digest(base_version, body))
-        return self._settled(outcome, base_version, version)
-
     def _settled(self, outcome: Outcome, base_version: int, version: int) -> web.Response:
         if isinstance(outcome, Acknowledged):
             logger.info("configuration {} on top of {} acknowledged", version, base_version)
@@ -113,9 +115,9 @@
         return _unsure("the core has not settled who answers this")
 
 
-async def _within(answer: Awaitable[Outcome]) -> Outcome:
+async def _within(answer: Awaitable[Outcome], seconds: float) -> Outcome:
     try:
-        async with asyncio.timeout(ANSWER_WITHIN_S):
+        async with asyncio.timeout(seconds):
             return await answer
     except TimeoutError:
         return Unsure()
--- a/rosechute/control/replica_runtime.py
+++ b/rosechute/control/replica_runtime.py
@@ -101,9 +101,7 @@
 
     def resign(self) -> None:
         """Give the leader lease back, if this machine holds it."""
-        resign = getattr(self.replica, "resign", None)
-        if resign is not None:
-            self._act(resign(self._clock()))
+        self._act(self.replica.resign(self._clock()))
 
     def _expect(self) -> tuple[int, asyncio.Future[Outcome]]:
         self._requests += 1
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -162,6 +162,12 @@
         self._chain.read(request)
         return self._leave()
 
+    def resign(self, now: float) -> list[Action]:
+        """Give the leader lease back, so that another machine may have it at once: this process is about to end."""
+        self._enter(now)
+        self._holder.give_up()
+        return self._leave()
+
     def update_seeds(self, seeds: Sequence[tuple[str, str]]) -> None:
         """The settings name other seeds now."""
         self._seeds = tuple(seeds)
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -65,6 +65,9 @@
     if isinstance(loaded, Failure):
         logger.error("settings: {}", loaded.failure())
         return 2
+    if not loaded.unwrap().data_dir or not loaded.unwrap().listen.control:
+        logger.error("settings: a core machine needs `data_dir` and `listen.control`")
+        return 2
     try:
         asyncio.run(_run(loaded.unwrap(), os.environ[SETTINGS_VARIABLE]))
     except TimeoutError:
--- a/rosechute/storage/files.py
+++ b/rosechute/storage/files.py
@@ -49,7 +49,7 @@
         os.ftruncate(self._descriptor(name), size)
 
     def sync(self, name: str) -> None:
-        os.fsync(self._descriptor(name))
+        os.fdatasync(self._descriptor(name))
 
     def sync_names(self) -> None:
         descriptor = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
--- a/tests/fleet/test_control_list_reader.py
+++ b/tests/fleet/test_control_list_reader.py
@@ -45,7 +45,7 @@
         def deliver(servers: Sequence[ListedServer]) -> None:
             self.delivered.append(list(servers))
 
-        return ListReader(platform.fetch, rate, platform.leads, deliver, lambda: 0.5, lambda: platform.now)
+        return ListReader(platform.fetch, lambda: rate, platform.leads, deliver, lambda: 0.5, lambda: platform.now)
 
     async def test_all_pages_are_one_list(self) -> None:
         platform = FakePlatform(3)
