Core process: start without the TLS library

The HTTP library reads the machine's certificates when it is imported, and the fleet speaks plain HTTP.

--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -1,5 +1,8 @@
 """The program of a core machine. `ROSECHUTE_NODE_FILE` names its settings file."""
 
+import rosechute.processes.plain_http  # noqa: F401
+
+# isort: split
 import asyncio
 import os
 import signal
