Tests of the core machine's parts together

Answers before the records are loaded, as leader, as follower and after a freeze; list and tokens only under the lease. 7 tests, replica and links are stand-ins.

--- /dev/null
+++ b/tests/fleet/test_control_core_machine.py
@@ -0,0 +1,156 @@
+"""How the parts of a core machine act on each other; replica and links are stand-ins."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import Any
+from unittest import IsolatedAsyncioTestCase
+
+from rosechute.configuration.process import CloudApi, Listen, ProcessSettings
+from rosechute.control.core_machine import CoreMachine
+from rosechute.coordination.types import CommittedConfiguration, Identity, Unsure
+from rosechute.distribution.values import ListedServer
+from rosechute.messages import distribution_pb2 as pb
+from rosechute.messages.framing import Kind
+from rosechute.messages.link import LinkConnection
+
+OWN = Identity("a", "core-a", "z", "10.0.0.1:8367", "10.0.0.1:7500")
+OTHER = Identity("b", "core-b", "z", "10.0.0.2:8367", "10.0.0.2:7500")
+EDGE = pb.Edge(name="e", zone="z", address="10.0.0.9:7515")
+
+
+def settings() -> ProcessSettings:
+    return ProcessSettings(
+        node_name="core-a",
+        ip="10.0.0.1",
+        zone="z",
+        port_range=(7500, 7515),
+        listen=Listen(control=OWN.control_address),
+        cloud_api=CloudApi(address="10.200.0.1:8361"),
+        data_dir="/nowhere",
+    )
+
+
+def configuration(sequence: int) -> CommittedConfiguration:
+    tenant = {"name": "t", "api_keys": ["k"], "rate_per_s": 1000, "burst": 1000}
+    body = {"config_version": sequence, "routes": [], "services": [], "tenants": [tenant]}
+    return CommittedConfiguration(sequence, sequence, json.dumps(body).encode(), b"")
+
+
+class FakeReplica:
+    """Says what it is told to."""
+
+    def __init__(self) -> None:
+        self.leader: Identity | None = OWN
+        self.identity = OWN
+        self.fresh: tuple[int, float] | None = (1, 0.1)
+
+    def is_leader(self, now: float) -> bool:
+        return self.leader is OWN
+
+    def leader_hint(self) -> Identity | None:
+        return self.leader
+
+    def freshness(self, now: float) -> tuple[int, float] | None:
+        return self.fresh
+
+    def core_machines(self) -> list[Identity]:
+        return [OWN, OTHER]
+
+
+class RecordingConnection(LinkConnection):
+    """Keeps what is sent on it."""
+
+    def __init__(self) -> None:
+        super().__init__("10.0.0.9:4000", lambda *_: None, lambda *_: None)
+        self.sent: list[pb.Distribution] = []
+
+    def send(self, kind: Kind, data: bytes) -> bool:
+        self.sent.append(pb.Distribution.FromString(data))
+        return True
+
+
+class CoreMachineTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.machine: Any = CoreMachine(settings())
+        self.replica = FakeReplica()
+        self.now = 100.0
+        self.machine._clock = lambda: self.now
+        self.connection = RecordingConnection()
+
+    def run_replica(self) -> None:
+        self.machine._runtime = SimpleNamespace(replica=self.replica)
+
+    def tell(self, **message: Any) -> None:
+        data = pb.Distribution(**message).SerializeToString()
+        self.machine._received(self.connection, Kind.DISTRIBUTION, data)
+
+    def told(self, kind: str) -> list[Any]:
+        return [getattr(each, kind) for each in self.connection.sent if each.WhichOneof("body") == kind]
+
+    def renew(self) -> pb.Renewed:
+        self.tell(renew=pb.Renew(request=1, edge=EDGE, boot=1))
+        return self.told("renewed")[-1]
+
+    async def test_unsure_until_the_records_are_loaded(self) -> None:
+        self.assertEqual(await self.machine.read(), Unsure())
+        self.assertEqual(await self.machine.submit(0, 1, b"", b""), Unsure())
+        self.assertFalse(self.renew().config_known)
+
+    async def test_a_leader_answers_as_one(self) -> None:
+        self.run_replica()
+        self.machine.lease_gained(3)
+        renewed = self.renew()
+        self.assertTrue(renewed.is_leader)
+        self.assertEqual((renewed.config_sequence, renewed.config_age_ms), (1, 100))
+        self.assertEqual([each.address for each in renewed.core], [OWN.peer_address, OTHER.peer_address])
+
+    async def test_a_follower_names_the_leader(self) -> None:
+        self.run_replica()
+        self.replica.leader = OTHER
+        renewed = self.renew()
+        self.assertEqual((renewed.is_leader, renewed.leader), (False, OTHER.peer_address))
+
+    async def test_after_a_freeze_no_answer_as_leader_and_no_tokens(self) -> None:
+        self.run_replica()
+        self.machine.lease_gained(3)
+        self.machine.committed(configuration(1))
+        self.now += 5.0
+        self.replica.leader = None  # the lease has run out, and the replica has not told yet
+        self.assertFalse(self.renew().is_leader)
+        wanted = pb.QuotaAmount(tenant="t", tokens=10, least=1)
+        self.tell(quota_request=pb.QuotaRequest(request=2, edge="e", wanted=[wanted]))
+        self.assertEqual(self.told("quota_issue"), [])
+
+    async def test_a_list_is_told_only_under_the_lease(self) -> None:
+        self.run_replica()
+        server = ListedServer("i", "s", "10.0.1.1:1", "z", 8, True)
+        self.machine._take_list([server])
+        self.machine.lease_gained(3)
+        self.renew()
+        self.assertEqual(self.told("list"), [])
+        self.machine._take_list([server])
+        self.tell(fetch=pb.Fetch(topic="list/s"))
+        self.assertEqual(self.told("list")[-1].servers[0].id, "i")
+
+    async def test_tokens_by_the_newest_configuration(self) -> None:
+        self.run_replica()
+        self.machine.lease_gained(3)
+        self.machine.committed(configuration(1))
+        self.now += 1.0
+        self.renew()
+        wanted = [pb.QuotaAmount(tenant="t", tokens=100, least=100), pb.QuotaAmount(tenant="u", tokens=1, least=1)]
+        self.tell(quota_request=pb.QuotaRequest(request=2, edge="e", wanted=wanted))
+        issued = {each.tenant: each.tokens for each in self.told("quota_issue")[-1].issued}
+        self.assertEqual(issued, {"t": 100, "u": 0})
+
+    async def test_changed_settings_reach_the_replica(self) -> None:
+        seeds: list[Any] = []
+        self.replica.update_seeds = seeds.append  # type: ignore[attr-defined]
+        self.run_replica()
+        changed = ProcessSettings(
+            node_name="core-a", ip="10.0.0.1", zone="z", port_range=(7500, 7515), seeds=("10.0.0.7:8367",)
+        )
+        self.machine.change_settings(changed)
+        self.assertEqual(seeds, [(("10.0.0.7:8367", "10.0.0.7:7500"),)])
+        await asyncio.sleep(0)
