--- a/rosechute/control/__init__.py
+++ b/rosechute/control/__init__.py
@@ -1,1 +1,1 @@
-"""The control plane of a core machine: operator's API, replica runtime, reader of the platform's list, quota buckets."""
+"""The control plane of a core machine: operator's API, replica runtime, list reader, quota buckets."""
