Command line, log, state and common start of the fleet's processes

Need: operators must be able to check files before they use them, to ask a process for its state, and to read one line an event; every process must tell why it does not start.

The settings may name a log level.

--- a/rosechute/configuration/process.py
+++ b/rosechute/configuration/process.py
@@ -101,6 +101,7 @@
     limits: ProcessLimits = ProcessLimits()
     data_dir: str = ""
     heartbeat_ms: float = 1000.0
+    log_level: str = ""
     contracts: tuple[str, ...] = ()
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/rosechute/processes/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m rosechute.processes`."""
+
+from rosechute.processes.main import main
+
+main()
