--- a/rosechute/distribution/__init__.py
+++ b/rosechute/distribution/__init__.py
@@ -1,1 +1,4 @@
-"""Distribution from the control plane to the edges: membership leases, home edges, subscriptions, hints."""
+"""Distribution of configuration and lists from the leader of the core to the edges, and membership of the edges.
+
+Pure: clock and messages in, actions out. The processes around it own the links.
+"""
