--- a/rosechute/coordination/acceptor.py
+++ b/rosechute/coordination/acceptor.py
@@ -28,7 +28,7 @@
             self._refuse(sender, prepare.epoch, ballot, promised)
             return
         if promised is None or ballot > promised:
-            self._write(pb.Record(promise=pb.PromiseRecord(ballot=ballot.message())))
+            self._write(pb.Record(promise=pb.PromiseRecord(ballot=ballot.message(), epoch=prepare.epoch)))
         own_tag = (prepare.state_epoch, prepare.state_sequence)
         self._context.disk.after(self._number, partial(self._promise, sender, prepare.epoch, ballot, own_tag))
 
--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -13,6 +13,7 @@
 from rosechute.coordination.types import Identity, Timing
 from rosechute.messages import coordination_pb2 as pb
 
+NEVER = float("-inf")
 STRANGER_S = 5.0  # a machine outside of the view is forgotten after such a silence
 
 
@@ -24,7 +25,8 @@
     boot: int
     beat: pb.Heartbeat
     heard: float  # when its newest heartbeat came
-    answered: float  # newest time of ours whose stamp it has sent back
+    echo: float  # newest stamp of ours that it has sent back
+    answered: float  # the same, moved by the time for which this machine did not run
     healthy: bool = False
     healthy_since: float = 0.0
     removals: list[float] = field(default_factory=list)  # times when it was taken out of the chain
@@ -46,17 +48,18 @@
         """A heartbeat came."""
         peer = self.peers.get(identity.id)
         if peer is None:
-            peer = self.peers[identity.id] = Peer(identity, boot, beat, now, self.started - STRANGER_S)
+            peer = self.peers[identity.id] = Peer(identity, boot, beat, now, NEVER, NEVER)
         elif boot in peer.past_boots:
             return peer  # a late one of a process that has ended
         elif boot != peer.boot:
             peer.past_boots.add(peer.boot)
             peer.boot, peer.healthy = boot, False
-            peer.answered = self.started - STRANGER_S
+            peer.echo = peer.answered = NEVER
         elif beat.stamp < peer.beat.stamp:
             return peer  # overtaken by a newer one
         peer.identity, peer.beat, peer.heard = identity, beat, now
         if beat.echo_boot == self.boot and beat.echo <= now:
+            peer.echo = max(peer.echo, beat.echo)
             peer.answered = max(peer.answered, beat.echo)
         self._judge(now, peer)
         return peer
--- a/rosechute/coordination/freshness.py
+++ b/rosechute/coordination/freshness.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from rosechute.coordination.context import Context
+from rosechute.coordination.detector import NEVER
 
 
 @dataclass(slots=True)
@@ -32,6 +33,8 @@
         if tail is None or len(known) < view.majority:
             return
         as_of = min(tail, known[view.majority - 1])
+        if as_of == NEVER:
+            return
         if self.as_of is None or as_of >= self.as_of:
             self.as_of = as_of
             self.sequence = max(self.sequence, self._tail_sequence(view.chain[-1]))
@@ -47,7 +50,7 @@
         peer = context.detector.peers.get(machine_id)
         if peer is None or peer.beat.sealed or peer.beat.epoch != context.memory.view.epoch:
             return None
-        return peer.answered
+        return peer.echo
 
     def _tail_sequence(self, machine_id: str) -> int:
         context = self.context
--- a/rosechute/coordination/memory.py
+++ b/rosechute/coordination/memory.py
@@ -1,7 +1,8 @@
 """What a core machine knows: the fold of its durable records.
 
 Every change of this state is a record. Live changes and a start from disk go through the same `apply`, so what is in
-memory is always what the disk will give back once its newest record is synced.
+memory is always what the disk will give back once its newest record is synced. A record that is older than what is
+known already changes nothing, so a log may follow a whole record that was made later than its first records.
 """
 
 from __future__ import annotations
@@ -61,18 +62,17 @@
         if kind == "machine":
             self._apply_machine(record.machine)
         elif kind == "promise":
-            self.promised = ballot_of(record.promise.ballot)
+            self._apply_promise(record.promise.epoch, ballot_of(record.promise.ballot))
         elif kind == "accepted":
-            self.accepted = proposal_of(record.accepted)
-            self.promised = self.accepted.ballot
+            self._apply_accepted(proposal_of(record.accepted))
         elif kind == "adopt":
             self._apply_adopt(record.adopt)
         elif kind == "write":
             self._apply_write(record.write)
         elif kind == "learn":
-            self.committed, self.written = state_of(record.learn.state), None
+            self._apply_learn(state_of(record.learn.state))
         elif kind == "term":
-            self.term = term_of(record.term)
+            self._apply_term(term_of(record.term))
         elif kind == "whole":
             self._apply_whole(record.whole)
 
@@ -80,6 +80,22 @@
         self.machine = identity_of(record.machine)
         self.bootstrap = record.bootstrap
 
+    def _apply_promise(self, epoch: int, ballot: Ballot) -> None:
+        if epoch == self.view.epoch and (self.promised is None or ballot > self.promised):
+            self.promised = ballot
+
+    def _apply_accepted(self, proposal: Proposal) -> None:
+        if proposal.view.epoch == self.view.epoch + 1 and (self.promised is None or proposal.ballot >= self.promised):
+            self.promised, self.accepted = proposal.ballot, proposal
+
+    def _apply_learn(self, state: State) -> None:
+        if state.epoch == self.view.epoch and state.sequence > self.newest.sequence:
+            self.committed, self.written = state, None
+
+    def _apply_term(self, term: Term) -> None:
+        if term.number > self.term.number:
+            self.term = term
+
     def _apply_adopt(self, record: pb.AdoptRecord) -> None:
         accepted = self.accepted
         if record.HasField("accepted"):
@@ -88,12 +104,15 @@
             view, state = accepted.view, accepted.state
         else:
             view, state = view_of(record.view), state_of(record.state)
+        if view.epoch <= self.view.epoch:
+            return
         self.view, self.committed, self.written = view, state, None
         self.promised, self.accepted = None, None
-        if view.term.number > self.term.number:
-            self.term = view.term
+        self._apply_term(view.term)
 
     def _apply_write(self, record: pb.ChainWrite) -> None:
+        if record.epoch != self.view.epoch or record.sequence != self.newest.sequence + 1:
+            return
         configuration = record.configuration
         self.commit()
         self.written = self.committed.after(
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -387,10 +387,10 @@
         context.disk.write(pb.Record(adopt=record), partial(self._adopted, view.epoch))
         if view.epoch != before.epoch + 1 or not before.accepts(context.own.id):
             self._grantor.abstain()
+        self._tell_committed()
         self._proposer.stop()
         self._chain.view_changed()
         self._confirmer.stop()
-        self._tell_committed()
 
     def _adopted(self, epoch: int) -> None:
         """The adoption of a view is synced."""
