Let other fronts name what clients may send, and pass answers on from their heads

Need: the router fleet shares this HTTP/1.1 code but has other methods, limits and paths, takes any 2xx, passes events on without holding them back, and tells answers apart by the id they carry. Change: terms of a listener and of its connections, with today's values as defaults; an exchange may be eager, may name the id its answer carries (others are dropped), and need not trust a close as an end.

--- a/hollyport/http1/client.py
+++ b/hollyport/http1/client.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections import deque
+from dataclasses import dataclass, field
 from typing import Protocol, cast
 
 import httptools
@@ -28,6 +29,7 @@
 SLOWEST = 32 * 1024  # bytes a second
 AHEAD = 8  # requests read ahead of the answer before; the rest waits unparsed or in the kernel
 CLOSING = frozenset({400, 404, 405, 408, 409, 413, 417, 431})  # answered and closed: what follows is as bad
+METHODS = frozenset({b"GET", b"POST"})
 NO_LINGER = struct.pack("ii", 1, 0)
 DIGITS = re.compile(rb"[0-9]{1,18}")
 
@@ -35,6 +37,19 @@
 Queue = dict["ClientConnection", float]
 
 
+@dataclass(slots=True)
+class ClientTerms:
+    """What a listener's clients may send and how long they may take. The defaults are those of the sidecar in
+    service; other fronts name their own, and may change them while they listen."""
+
+    max_head: int = field(default_factory=lambda: MAX_HEAD)
+    max_body: int = field(default_factory=lambda: MAX_BODY)
+    whole_s: float = field(default_factory=lambda: WHOLE_S)
+    methods: frozenset[bytes] = METHODS
+    own_paths: bool = True  # whether the paths below /-/ are the listener's own
+    closing: frozenset[int] = CLOSING
+
+
 class Service(Protocol):
     """What the connections need of the sidecar."""
 
@@ -52,6 +67,7 @@
 
     service: Service
     budget: Budget
+    terms: ClientTerms
     partial: Queue  # part of a request has come
     kept: Queue  # between requests
     visitors: Queue  # have asked for readiness and nothing else
@@ -92,6 +108,7 @@
         self._rest = b""  # read, and not parsed yet: enough requests wait already, or enough of a body
         self._paused = False
         self._budget = listener.budget
+        self._terms = listener.terms
         self._active: Message | None = None  # owed an answer
         self._waiting: deque[Message] = deque()  # sent ahead of the answer before
         self._length: int | None = None
@@ -136,8 +153,8 @@
         parser has nothing of it yet."""
         if self._waiting or self._full or self._overfull or self._error:
             return False
-        found = quick.request(data, MAX_HEAD, self._budget.share)
-        if found is None:
+        found = quick.request(data, self._terms.max_head, self._budget.share)
+        if found is None or len(found[4]) > self._terms.max_body:
             return False
         message = Message(self)
         message.method, message.target, message.headers, message.told, message.body = found
@@ -226,7 +243,7 @@
         except httptools.HttpParserError:  # also what a callback refused, CONNECT and upgrades
             self._error = self._error or 400
         # Counted raw: a header that never ends would only grow inside the parser.
-        if self._in_head and self._raw > MAX_HEAD:
+        if self._in_head and self._raw > self._terms.max_head:
             self._error = self._error or 431
         # Where a request in this piece was answered with an error, what follows it gets no second one.
         if self._error and not self._deaf:
@@ -305,7 +322,7 @@
             or hosts > 1 or (not hosts and version == "1.1") or version not in ("1.0", "1.1")
         ):
             self._error = 400
-        elif lengths and int(lengths[0]) > MAX_BODY:
+        elif lengths and int(lengths[0]) > self._terms.max_body:
             self._error = 413
         else:
             expect = message.header(b"expect")
@@ -330,7 +347,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > MAX_BODY:
+        if self._size > self._terms.max_body:
             self._error = 413
             raise Refused
         if self._stream is not None:
@@ -368,13 +385,12 @@
     def _begin(self, message: Message) -> None:
         self._active = message
         self._listener.move(self, None if message.complete else self._listener.partial)
-        path = message.target.partition(b"?")[0]
-        if path == b"/-/ready":
-            message.reply(200 if self._listener.service.ready() else 503)
-        elif path.startswith(b"/-/"):
-            message.reply(404)
-        elif message.method not in (b"GET", b"POST"):
-            message.reply(405, headers=[(b"Allow", b"GET, POST")])
+        terms = self._terms
+        if terms.own_paths and message.target.startswith(b"/-/"):
+            path = message.target.partition(b"?")[0]
+            message.reply((200 if self._listener.service.ready() else 503) if path == b"/-/ready" else 404)
+        elif message.method not in terms.methods:
+            message.reply(405, headers=[(b"Allow", b", ".join(sorted(terms.methods)))])
         elif self._asked or not self.look():  # else it had left before it was let in, or read from
             self._asked = True
             try:
@@ -389,10 +405,10 @@
         transport = self._transport
         if message is not self._active or transport is None:
             return
-        self._keep = self._keeps(message) and status not in CLOSING
+        self._keep = self._keeps(message) and status not in self._terms.closing
         # Joined, here and above: compiled (mypyc 1.19.1), a sum of bytes leaves one of them in memory for good.
         transport.write(b"".join((head(status, len(body), headers, self._keep), body)))
-        self._settle(message, status in CLOSING)
+        self._settle(message, status in self._terms.closing)
 
     def _keeps(self, message: Message) -> bool:
         """Whether the connection stays open after this answer."""
@@ -577,7 +593,7 @@
     def overdue(self, now: float, since: float) -> bool:
         """Whether a request that has been coming in since then takes too long. A head has a time limit; a
         body must go on coming, and at a rate that no working client falls below."""
-        if self._paused or now - since < WHOLE_S:
+        if self._paused or now - since < self._terms.whole_s:
             return False  # it is we who don't read, or it has time left
         if self._in_head:
             return True
--- a/hollyport/http1/connection.py
+++ b/hollyport/http1/connection.py
@@ -22,6 +22,7 @@
 DIGITS = re.compile(rb"[0-9]{1,18}")
 SPLITS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # what may end a header, or the answer, for some reader
 NO_BODY = (204, 304)
+PLAIN = range(200, 201)
 
 
 class Reply:
@@ -43,6 +44,7 @@
 Done = Callable[["Reply | None"], None]
 Begin = Callable[["Reply", "int | None"], "Sink | None"]
 Wrote = Callable[[], None]
+Echo = tuple[bytes, bytes]  # a header, in lower case, and the value with which answers to a request carry it
 
 
 class Spoilt(Exception):
@@ -58,9 +60,12 @@
 
     def __init__(
         self, on_lost: Callable[[Connection], None], max_body: int = MAX_KEPT, stall_s: float = 0.0,
-        budget: Budget | None = None,
+        budget: Budget | None = None, trust_end: bool = True,
+        successes: range = PLAIN,
     ) -> None:
         self._on_lost = on_lost
+        self._successes = successes  # statuses of answers that may be passed on as they come
+        self._trust_end = trust_end  # whether a close ends an answer that has no length
         self._max_body = self._limit = max_body
         self._plain = min(max_body, WHOLE)
         self._stall_s = stall_s  # how long an answer that has begun may pause; 0 for any time
@@ -72,6 +77,10 @@
         self._wrote: Wrote | None = None  # called once the last byte is written
         self._blocked = False
         self._written = True
+        self.touched = False  # whether any byte of the last request was written
+        self._eager = False  # whether a successful answer is passed on from its head on
+        self._echo: Echo | None = None
+        self._surplus = False  # what comes answers an earlier request
         self._request: Body | None = None  # what is still to be written
         self._begin: Begin | None = None  # asked where a long answer goes
         self._sink: Sink | None = None
@@ -118,10 +127,10 @@
             self.abort()  # nobody asked: the two sides disagree about where an answer ends
             return
         self.progress += len(data)
-        if not self._raw and self._request is None:
+        if not self._raw and self._request is None and not self._eager:
             # Nothing of this answer has been parsed: what is whole and plain needs no parser.
             found = quick.reply(data, MAX_HEAD, self._plain)
-            if found is not None:
+            if found is not None and (self._echo is None or self._echo in found[0]):
                 self._finish(Reply(200, found[0], found[1]))
                 return
         self._raw += len(data)
@@ -185,15 +194,22 @@
         if status < 200:
             return
         self._in_head = False
+        if self._echo is not None:
+            echoed = [value for name, value in self._headers if name == self._echo[0]]
+            if len(echoed) != 1:
+                raise Spoilt  # nobody can tell whose answer it is
+            self._surplus = echoed[0] != self._echo[1]
         lengths = [value for name, value in self._headers if name == b"content-length"]
         codings = [value.lower() for name, value in self._headers if name == b"transfer-encoding"]
         if (codings and (lengths or codings != [b"chunked"])) or len(lengths) > 1:
             raise Spoilt
-        self._limit = MAX_BODY if self._begin is not None and status == 200 else self._max_body
+        self._limit = MAX_BODY if self._begin is not None and status in self._successes else self._max_body
         if lengths and (DIGITS.fullmatch(lengths[0]) is None or int(lengths[0]) > self._limit):
             raise Spoilt
         self._length = int(lengths[0]) if lengths else None
         self._until_end = not codings and not lengths and status not in NO_BODY
+        if self._until_end and (self._surplus or not self._trust_end):
+            raise Spoilt  # its end can't be told from a break
         if any(SPLITS.search(value) for _, value in self._headers):
             raise Spoilt
 
@@ -201,6 +217,8 @@
         self._size += len(body)
         if self._size > self._limit:
             raise Spoilt
+        if self._surplus:
+            return
         self._body.append(body)
         if self._budget is not None:
             self._budget.take(len(body))
@@ -211,6 +229,10 @@
         status = parser.get_status_code()
         if status < 200:
             return  # 1xx: the answer is still to come
+        if self._surplus:
+            # The answer to an earlier request: ours is still to come, and the connection serves no other one.
+            self._surplus, self._in_head, self._raw, self.reusable = False, True, 1, False
+            return
         # Asked here and not after feed_data: the parser forgets the message's framing when it ends, and then
         # says that no connection can be kept.
         self.reusable = self.reusable and parser.should_keep_alive()
@@ -225,19 +247,23 @@
 
     def send(
         self, data: bytes, done: Done, wrote: Wrote | None = None, request: Body | None = None,
-        begin: Begin | None = None,
+        begin: Begin | None = None, eager: bool = False, echo: Echo | None = None,
     ) -> None:
         """Write a request, its body as it comes where there is one apart; `done` gets the answer, or None if
-        the connection ends before its last byte. A long answer goes where `begin` says, as it comes."""
+        the connection ends before its last byte. A long answer goes where `begin` says, as it comes; with
+        `eager`, so does every successful one, from its head on. With `echo`, answers that carry
+        another value are those to earlier requests and are dropped; one that carries none is spoilt."""
         assert self._done is None and self._transport is not None
         self._wrote, self._begin, self._until_end = wrote, begin, False
         self._done, self._complete, self._raw, self._in_head = done, False, 0, True
-        self._written = False
+        self._written = self.touched = False
+        self._eager, self._echo, self._surplus = eager, echo, False
         if self._transport.is_closing():
             # A server at its limit accepts and closes: the end may be known before the first send, and a
             # write would then raise and leave the attempt without an outcome.
             self._finish(None)
             return
+        self.touched = True
         self._transport.write(data)
         if request is not None:
             self._request = request
@@ -295,9 +321,9 @@
 
     def _long(self) -> bool:
         """Whether the answer is not held back any longer."""
-        if self._in_head or self._begin is None or self._status != 200:
+        if self._in_head or self._begin is None or self._surplus or self._status not in self._successes:
             return False
-        if (self._length or self._size) > WHOLE:
+        if self._eager or (self._length or self._size) > WHOLE:
             return True
         if self._length is None and self._size and self._hold is None:
             self._hold = asyncio.get_running_loop().call_later(HOLD_S, self._start)
--- a/hollyport/http1/listener.py
+++ b/hollyport/http1/listener.py
@@ -6,11 +6,12 @@
 import errno
 import select
 import socket
+from dataclasses import dataclass, field
 
 from hollyport.core.address import Address
 from hollyport.core.flow import RECEIVE, Budget
 from hollyport.core.log import LOG
-from hollyport.http1.client import ClientConnection, Queue, Service
+from hollyport.http1.client import ClientConnection, ClientTerms, Queue, Service
 
 BACKLOG = 1024
 BATCH = 64  # connections taken in one go, so that a flood does not keep the loop from its other work
@@ -33,14 +34,26 @@
 HALT_S = 0.3  # and so is one that has stopped in the middle of a request
 
 
+@dataclass(slots=True)
+class ListenerTerms(ClientTerms):
+    """The terms of the connections, and how long they are kept."""
+
+    silent_s: float = field(default_factory=lambda: SILENT_S)
+    keep_s: float = field(default_factory=lambda: KEEP_S)
+    drain_s: float = field(default_factory=lambda: DRAIN_S)
+
+
 class Listener:
     """The listening socket and all connections that came in by it.
 
     A connection stands in at most one queue, the longest there first; in none while an answer is owed.
     """
 
-    def __init__(self, service: Service, most: int, crowd: int, budget: Budget) -> None:
+    def __init__(
+        self, service: Service, most: int, crowd: int, budget: Budget, terms: ListenerTerms | None = None
+    ) -> None:
         self.service = service
+        self.terms = terms or ListenerTerms()
         self.budget = budget
         self.most = self._share = most
         self._crowd = crowd
@@ -104,7 +117,7 @@
         drain that is on goes on."""
         assert self._loop is not None
         if on and not self.draining:
-            self._loop.call_later(DRAIN_S, self._empty)
+            self._loop.call_later(self.terms.drain_s, self._empty)
         self.draining = on
 
     def _empty(self) -> None:
@@ -334,7 +347,8 @@
     def _sweep(self) -> None:
         assert self._loop is not None
         now = self._loop.time()
-        limits = ((self.silent, SILENT_S), (self.kept, KEEP_S), (self.visitors, KEEP_S))
+        terms = self.terms
+        limits = ((self.silent, terms.silent_s), (self.kept, terms.keep_s), (self.visitors, terms.keep_s))
         for queue, age in limits:
             for connection in _older(queue, now - age):
                 if connection.quiet():
