--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -123,9 +123,8 @@
         service = route.pick_service(draw)
         routing = RoutingRequest(
             ticket=ticket, service=service, route=route.name, priority=priority,
-            deadline=min(hold_limit, arrived + silence_s) if silence_s else hold_limit,
-            target_s=route.target_latency_ms / 1e3, arrived=arrived, max_attempts=max(1, int(route.max_attempts)),
-            repeatable=route.repeatable, sticky=route.sticky, model=told.get(MODEL, b"").decode("latin-1"),
+            deadline=hold_limit, target_s=route.target_latency_ms / 1e3, arrived=arrived,
+            max_attempts=max(1, int(route.max_attempts)), repeatable=route.repeatable, sticky=route.sticky, model=told.get(MODEL, b"").decode("latin-1"),
             parts=_parts(told.get(PROMPT_PREFIX)) if route.sticky else (),
             input_tokens=input_tokens, output_tokens=output_tokens,
         )
--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -23,6 +23,9 @@
 SILENCE_MARGIN_S = 0.05  # a silent stream is given up so long before its client does
 SILENCE_RESERVE = 0.25  # part of the client's patience that is left to another server, where one may go on
 UNSENT_RETRY_S = 0.25  # when to come back where nothing else tells
+FRESH_S = 0.02  # a request that was read so lately has a client
+LATE_S = 0.2  # a timer that comes so late shows that the process stood still
+CATCH_UP_S = 0.05  # what has come meanwhile is read within this time
 STOPPING_RETRY_S = 0.05  # when to come back, to another edge
 REPEAT_PATIENCE_TARGETS = 4.0  # latency objectives after which a server that says nothing is left for another one
 REPEAT_PATIENCE_S = 1.0  # and at least so long
@@ -81,7 +84,7 @@
 
     __slots__ = (
         "message", "admitted", "ticket", "state", "_desk", "_loop", "_attempt", "_ran", "_failure", "_last", "_begun",
-        "_events", "_paused", "_limit", "_silence", "_heard", "_told",
+        "_events", "_paused", "_limit", "_silence", "_heard", "_told", "_caught_up",
     )
 
     def __init__(self, desk: Desk, message: Message, admitted: Admitted) -> None:
@@ -98,6 +101,7 @@
         self._paused = False  # whether the client does not take what is passed on
         self._limit: asyncio.TimerHandle | None = self._loop.call_at(admitted.hold_limit, self._time_up)
         self._silence: asyncio.TimerHandle | None = None
+        self._caught_up = False  # whether this process has stood still, and had time to read what came meanwhile
         self._heard = 0.0  # when the server sent something last, or was sent the request
         self._told = admitted.arrived  # when the client was sent something last, or sent the request
 
@@ -173,7 +177,8 @@
         if not server.ready:
             self._leave(server)
             return None
-        if self._begun and not self._still_there():
+        waited = self._loop.time() - admitted.arrived > FRESH_S
+        if waited and not self._still_there():
             return None
         left = min(admitted.hold_limit, admitted.client_limit) - self._loop.time()
         if left <= 0.0:
@@ -407,7 +412,8 @@
         return Resume(events.last_id, events.version) if events is not None else None
 
     def _still_there(self) -> bool:
-        """Whether the client still takes the answer that has begun; else it is over."""
+        """Whether the client still waits; else it is over. Its end may not have been read yet, which is asked of
+        the kernel."""
         if self.message.connection.look():
             self.client_left()
         return self.state is not RequestState.OVER
@@ -470,6 +476,11 @@
         if self._paused:
             self._heard = self._told = now  # it is the client that is slow
         point = self._silence_point()
+        if point and now > point + LATE_S and not self._caught_up:
+            self._caught_up = True
+            self._silence = self._loop.call_at(now + CATCH_UP_S, self._look)
+            return
+        self._caught_up = False
         if not point or now < point:
             self._watch()
             return
--- a/rosechute/data/shutdown.py
+++ b/rosechute/data/shutdown.py
@@ -9,6 +9,7 @@
 LEAST_S = 2.5  # for so long clients may come that were sent here before the process was seen not to be ready
 LAST_CONNECTIONS_S = 0.7  # before the end of the time: no connection is taken any more, and nothing new is sent
 LAST_MOMENT_S = 0.15  # before the end of the time: what is still open is ended
+LET_READ_S = 0.3  # for so long at most clients that had their last answer are waited for
 LOOK_S = 0.02  # how often it is looked at whether all is done
 
 
@@ -34,7 +35,14 @@
         listener.close()
         for request in list(self._front.requests.values()):
             request.last_moment()
-        await asyncio.sleep(LOOK_S)  # for the last answers to be written
+        await self._let_read()
+
+    async def _let_read(self) -> None:
+        """Leave clients the time to read their last answers: what ends with bytes unread takes them along."""
+        until = min(self._loop.time() + LET_READ_S, self._end - LOOK_S)
+        await asyncio.sleep(LOOK_S)
+        while self._front.listener.connections and self._loop.time() < until:
+            await asyncio.sleep(LOOK_S)
 
     def _idle(self) -> bool:
         """Whether nothing is open, and nobody is sent here any more."""
--- /dev/null
+++ b/tests/fleet/test_data_races.py
@@ -0,0 +1,311 @@
+"""Orders of events between clients, servers, the list and the clock that each have to come out right."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from rosechute.data.request import ClientRequest
+from tests.fleet.data_site import Call, Script, Site, SiteCase, Talk, configuration, event, plain, route, until_closed
+from tests.fleet.test_data_streams import events, streaming
+
+
+def answering_at(times: dict[str, float]) -> Script:
+    """A server that answers at the time that is told."""
+    async def script(talk: Talk, call: Call) -> None:
+        await asyncio.sleep(times["at"] - asyncio.get_running_loop().time())
+        talk.answer()
+    return script
+
+
+class AnswersAndEnds(SiteCase):
+    def test_an_answer_and_the_end_of_the_clients_time_in_one_turn_give_one_answer(self) -> None:
+        async def scene() -> None:
+            for shift in (-0.001, 0.0, 0.001):
+                times: dict[str, float] = {}
+                site = await Site().start(s1=answering_at(times))
+                client = await site.client()
+                times["at"] = site.loop.time() + 1.0 - 0.02 + shift
+                client.send(deadline=1000)
+                answer = await client.answer()
+                self.assertIn(answer.status, (200, 504))
+                self.assertEqual((await client.ask("/nowhere/1")).status, 404)  # nothing else came in between
+                site.close()
+        self.play(scene)
+
+    def test_an_answer_and_the_clients_end_in_one_turn(self) -> None:
+        async def scene() -> None:
+            for path in ("/plain/1", "/resume/1", "/stream/1"):
+                for leave in ("close", "reset"):
+                    site = await Site().start(s1=until_closed)
+                    client = await site.client()
+
+                    async def script(talk: Talk, call: Call) -> None:
+                        talk.begin()
+                        talk.event(1)
+                        getattr(client, leave)()  # noqa: B023
+                        await until_closed(talk, call)
+
+                    site.servers["s1"].script = script
+                    client.send(path)
+                    await asyncio.sleep(0.1)
+                    self.assertEqual(len(site.servers["s1"].closed), 1)
+                    self.assertFalse(site.plane.front.requests or site.router._calls)
+                    site.close()
+        self.play(scene)
+
+    def test_an_answer_and_the_drain_of_its_server_in_one_turn(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=plain)
+
+            async def script(talk: Talk, call: Call) -> None:
+                talk.answer()
+                site.list(replace(talk.server.entry, ready=False))
+
+            site.servers["s1"].script = script
+            client = await site.client()
+            self.assertEqual((await client.ask()).status, 200)
+            await asyncio.sleep(0.01)
+            self.assertFalse(site.plane.servers.find("s1").idle)  # type: ignore[union-attr]
+            self.assertEqual((await client.ask()).status, 503)
+            site.close()
+        self.play(scene)
+
+    def test_interim_answers_come_before_the_answer(self) -> None:
+        async def scene() -> None:
+            async def script(talk: Talk, call: Call) -> None:
+                talk.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+                talk.answer()
+
+            site = await Site().start(s1=script)
+            self.assertEqual((await site.ask()).status, 200)
+            site.close()
+        self.play(scene)
+
+    def test_an_endless_head_ends_as_no_answer(self) -> None:
+        async def scene() -> None:
+            async def script(talk: Talk, call: Call) -> None:
+                talk.writer.write(talk.head(200)[:-2])
+                for _ in range(40):
+                    talk.writer.write(b"X-More: " + b"a" * 1000 + b"\r\n")
+                await until_closed(talk, call)
+
+            site = await Site().start(s1=script)
+            begun = site.loop.time()
+            answer = await site.ask()
+            self.assertEqual(answer.status, 502)
+            self.assertLess(answer.at - begun, 0.2)
+            site.close()
+        self.play(scene)
+
+    def test_an_answer_with_two_lengths_or_without_the_id_is_none(self) -> None:
+        async def scene() -> None:
+            async def two(talk: Talk, call: Call) -> None:
+                talk.writer.write(talk.head(200, "Content-Length: 4", "Content-Length: 5") + b"whole")
+
+            async def none(talk: Talk, call: Call) -> None:
+                talk.writer.write(b"HTTP/1.1 200 OK\r\nX-Rosechute-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody")
+
+            for script in (two, none):
+                site = await Site().start(s1=script)
+                self.assertEqual((await site.ask()).status, 502)
+                site.close()
+        self.play(scene)
+
+    def test_a_second_answer_to_one_request_goes_to_nobody(self) -> None:
+        async def scene() -> None:
+            async def twice(talk: Talk, call: Call) -> None:
+                talk.answer(200, call.id.encode())
+                await talk.writer.drain()
+                await asyncio.sleep(0.02)
+                talk.answer(200, call.id.encode())
+
+            site = await Site().start(s1=twice)
+            client = await site.client()
+            for number in range(4):
+                answer = await client.ask(id=f"n{number}")
+                self.assertEqual(answer.body, b"n%d" % number)
+                await asyncio.sleep(0.015 * number)
+            site.close()
+        self.play(scene)
+
+    def test_a_stream_that_ends_whole_is_whole_even_without_its_last_blank_line(self) -> None:
+        async def scene() -> None:
+            async def script(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await asyncio.sleep(0.1)
+                talk.piece(b"id: 2\ndata: end")
+                await asyncio.sleep(0.1)
+                talk.finish()
+
+            site = await Site().start(s1=script)
+            answer = await site.ask("/resume/1")
+            self.assertEqual((answer.whole, answer.body), (True, event(1) + b"id: 2\ndata: end"))
+            site.close()
+        self.play(scene)
+
+
+class RequestsAndServers(SiteCase):
+    def test_a_server_that_closes_as_a_request_is_written(self) -> None:
+        async def scene() -> None:
+            for path, status in (("/plain/1", 502), ("/again/1", 200)):
+                site = await Site().start(s1=plain, s2=plain)
+                for server in site.servers.values():
+                    server.entry = replace(server.entry)
+                client = await site.client()
+                await client.ask(path)
+                used = next(server for server in site.servers.values() if server.calls)
+
+                async def closes(talk: Talk, call: Call) -> None:
+                    talk.reset()
+
+                used.script = closes
+                statuses = [(await client.ask(path)).status for _ in range(4)]
+                self.assertTrue(set(statuses) <= {200, status}, statuses)
+                self.assertIn(status, statuses)
+                self.assertEqual(len({call.id for call in site.calls if path == "/plain/1"}),
+                                 len([call for call in site.calls if path == "/plain/1"]))
+                site.close()
+        self.play(scene)
+
+    def test_a_body_that_has_begun_to_go_is_not_sent_again(self) -> None:
+        async def scene() -> None:
+            async def half(talk: Talk, call: Call) -> None:
+                talk.reset()
+
+            for path in ("/plain/1", "/again/1"):
+                site = await Site(memory_mb=66).start(s1=half, s2=half)
+                client = await site.client()
+                client.writer.write(
+                    b"POST %s HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                    b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" % path.encode() + b"x" * 150000
+                )
+                await asyncio.sleep(0.05)
+                for server in site.servers.values():  # those that read it break off
+                    for task in server._tasks:
+                        task.cancel()
+                answer = await client.answer()
+                self.assertEqual(answer.status, 502)
+                self.assertEqual(sum(server.connections for server in site.servers.values()), 1)
+                site.close()
+        self.play(scene)
+
+    def test_a_body_that_stops_half_way_is_ended_and_its_server_dropped(self) -> None:
+        async def scene() -> None:
+            site = await Site(memory_mb=66).start(s1=plain)
+            client = await site.client()
+            client.writer.write(
+                b"POST /plain/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" + b"x" * 150000
+            )
+            answer = await client.answer()
+            self.assertIn(answer.status, (408, 504))
+            await asyncio.sleep(0.1)
+            self.assertFalse(site.plane.front.requests or site.calls)
+            self.assertEqual(site.plane.budget.used, 0)
+            site.close()
+        self.play(scene)
+
+    def test_a_server_that_is_replaced_under_its_address_gets_no_connection_of_the_one_before(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=plain)
+            client = await site.client()
+            await client.ask()
+            server = site.servers["s1"]
+            site.list(replace(server.entry, id="s1-again"))
+            await client.ask()
+            self.assertEqual(server.connections, 2)
+            self.assertEqual([c.headers["x-rosechute-expect-instance"] for c in server.calls], ["s1", "s1-again"])
+            site.close()
+        self.play(scene)
+
+    def test_two_requests_sent_at_once_are_answered_in_order(self) -> None:
+        async def scene() -> None:
+            async def slow_first(talk: Talk, call: Call) -> None:
+                if call.id == "one":
+                    await asyncio.sleep(0.3)
+                talk.answer(200, call.id.encode())
+
+            site = await Site().start(s1=slow_first)
+            client = await site.client()
+            for name in ("one", "two", "three"):
+                client.send(id=name)
+            self.assertEqual([(await client.answer()).body for _ in range(3)], [b"one", b"two", b"three"])
+            site.close()
+        self.play(scene)
+
+    def test_many_clients_that_leave_in_one_turn(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=until_closed, s2=until_closed)
+            clients = [await site.client() for _ in range(80)]
+            for number, client in enumerate(clients):
+                client.send(("/plain/1", "/resume/1", "/again/1")[number % 3])
+            await asyncio.sleep(0.05)
+            for client in clients:
+                client.reset()
+            await asyncio.sleep(0.2)
+            self.assertFalse(site.plane.front.requests or site.router._calls)
+            self.assertEqual(len(site.calls), sum(len(server.closed) for server in site.servers.values()))
+            site.close()
+        self.play(scene)
+
+    def test_a_broken_part_of_the_program_costs_the_request_it_came_from(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            real = ClientRequest.send
+
+            def broken(self: ClientRequest, action: object) -> None:
+                raise ZeroDivisionError
+
+            ClientRequest.send = broken  # type: ignore[method-assign, assignment]
+            try:
+                self.assertEqual((await site.ask()).status, 503)
+            finally:
+                ClientRequest.send = real  # type: ignore[method-assign]
+            self.assertEqual((await site.ask()).status, 200)
+            self.assertFalse(site.plane.front.requests)
+            site.close()
+        self.play(scene)
+
+
+class StandingStill(SiteCase):
+    def test_events_that_came_while_the_process_stood_still_count(self) -> None:
+        async def scene() -> None:
+            async def script(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await asyncio.sleep(0.1)
+                talk.event(2)
+                site.loop._jump.now += 6.0  # type: ignore[attr-defined]
+                await asyncio.sleep(0.5)
+                talk.event(3)
+                talk.finish()
+
+            site = await Site().start(s1=script, s2=streaming(3))
+            site.list(site.servers["s1"].entry)
+            client = await site.client()
+            site.plane.apply_configuration(configuration(2, routes=[
+                route("resume", route_type="streaming", gap_aim_ms=500, stream_resume=True, timeout_ms=15000),
+            ]), 2)
+            client.send("/resume/1", deadline=15000)
+            await client.head()
+            body = b""
+            while piece := await client.piece():
+                body += piece
+            self.assertEqual((body, len(site.calls)), (events(1, 3), 1))
+            site.close()
+        self.play(scene)
+
+    def test_after_standing_still_no_key_is_served_on_an_old_configuration(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            client = await site.client()
+            self.assertEqual((await client.ask()).status, 200)
+            site.fresh.at = site.loop.time()
+            site.loop._jump.now += 6.0  # type: ignore[attr-defined]
+            self.assertEqual((await client.ask()).status, 503)
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
--- /dev/null
+++ b/tests/fleet/test_data_shutdown.py
@@ -0,0 +1,198 @@
+"""The orderly end: everything that was read is answered, nothing is left in the queue, all within the time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from tests.fleet.data_site import Answer, Call, Client, Site, SiteCase, Talk, until_closed
+from tests.fleet.test_data_streams import events, streaming
+
+
+class Shutdowns(SiteCase):
+    async def end(self, site: Site) -> float:
+        """Shut the plane down; how long it took."""
+        begun = site.loop.time()
+        site.plane.begin_shutdown()
+        self.assertFalse(site.plane.ready())
+        await site.plane.finish_shutdown()
+        return site.loop.time() - begun
+
+    def test_with_nothing_to_do_it_ends_once_nobody_is_sent_here_any_more(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            self.assertAlmostEqual(await self.end(site), 2.5, delta=0.3)
+            with self.assertRaises(ConnectionRefusedError):
+                await site.client()
+            site.close()
+        self.play(scene)
+
+    def test_new_clients_are_served_until_it_ends_and_each_answer_is_the_last_of_its_connection(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            kept = await site.client()
+            await kept.ask()
+            ending = asyncio.ensure_future(self.end(site))
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                answer = await site.ask()
+                self.assertEqual((answer.status, answer.headers["connection"]), (200, "close"))
+            self.assertEqual((await kept.ask()).headers["connection"], "close")
+            self.assertLess(await ending, 3.0)
+            site.close()
+        self.play(scene)
+
+    def test_idle_connections_stay_until_the_platform_knows_and_go_then(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            idle = [await site.client() for _ in range(3)]
+            for client in idle:
+                await client.ask()
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(2.0)
+            self.assertFalse(any(client.reader.at_eof() for client in idle))
+            begun = site.loop.time()
+            for client in idle:
+                self.assertEqual(await client.ended(), b"")
+            self.assertLess(site.loop.time() - begun, 0.5)
+            await ending
+            site.close()
+        self.play(scene)
+
+    def test_a_stream_goes_on_to_its_end(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=streaming(40, 0.1))
+            answers = [asyncio.ensure_future(site.ask(path, deadline=15000)) for path in ("/resume/1", "/stream/1")]
+            await asyncio.sleep(0.3)
+            took = await self.end(site)
+            for answer in await asyncio.gather(*answers):
+                self.assertEqual((answer.whole, answer.body), (True, events(1, 40)))
+            self.assertTrue(3.6 < took < 4.2, took)  # 4 s less the 0.3 s before the end began
+            site.close()
+        self.play(scene)
+
+    def test_at_the_end_of_the_time_all_is_answered_or_cut(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=until_closed)
+            hangs = asyncio.ensure_future(site.ask(deadline=20000))
+            await asyncio.sleep(0.01)
+            site.servers["s1"].script = streaming(500, 0.1)
+            stream = asyncio.ensure_future(site.ask("/stream/1", deadline=20000))
+            await asyncio.sleep(0.01)
+            took = await self.end(site)
+            self.assertTrue(3.7 < took < 4.0, took)
+            self.assertEqual((await hangs).status, 504)
+            self.assertFalse((await stream).whole)
+            site.close()
+        self.play(scene)
+
+    def test_near_the_end_what_has_not_been_sent_is_told_to_come_back(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=until_closed)
+            site.quota.held = []
+            early = await site.client()
+            early.send(key="m1", deadline=20000)
+            held = await site.client()
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(3.1)
+            late = await site.client()  # stands in the machine's queue as the last connections are taken
+            late.send(key="m1", deadline=20000)
+            await asyncio.sleep(0.25)
+            for client in (early, late):
+                answer = await client.answer()
+                self.assertEqual(answer.status, 503)
+                self.assertLess(float(answer.headers["retry-after"]), 1.0)
+            self.assertEqual(await held.ended(), b"")
+            with self.assertRaises(ConnectionError):
+                await site.client()
+            await ending
+            self.assertFalse(site.calls)
+            site.close()
+        self.play(scene)
+
+    def test_no_request_that_was_read_is_lost_by_clients_that_go_on_to_the_end(self) -> None:
+        async def scene() -> None:
+            async def slow(talk: Talk, call: Call) -> None:
+                await asyncio.sleep(0.05)
+                talk.answer()
+
+            site = await Site(grace_s=5.0).start(s1=slow, s2=slow)
+            answers: list[Answer] = []
+            cut: list[str] = []
+
+            async def press(number: int) -> None:
+                client: Client | None = None
+                while True:
+                    try:
+                        if client is None:
+                            client = await site.client()
+                        answer = await client.ask()
+                    except ConnectionRefusedError:
+                        return
+                    except (asyncio.IncompleteReadError, ConnectionError):
+                        cut.append(f"client {number}")
+                        client = None
+                        continue
+                    answers.append(answer)
+                    if answer.headers.get("connection") == "close":
+                        client = None
+                    await asyncio.sleep(0.01 * (number % 5))
+
+            pressing = [asyncio.ensure_future(press(number)) for number in range(12)]
+            await asyncio.sleep(0.5)
+            took = await self.end(site)
+            self.assertLess(took, 5.0)
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*pressing)
+            self.assertEqual({answer.status for answer in answers} - {200, 503}, set())
+            self.assertFalse(cut)
+            self.assertGreater(len(answers), 200)
+            site.close()
+        self.play(scene)
+
+    def test_a_second_signal_changes_nothing(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(1.5)
+            site.plane.begin_shutdown()
+            self.assertLess(await ending, 3.0)
+            site.close()
+        self.play(scene)
+
+    def test_a_head_half_read_is_read_on_and_answered(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            client = await site.client()
+            client.writer.write(b"POST /plain/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Cre")
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(2.4)
+            client.writer.write(b"dential: k1\r\nX-Rosechute-Request-Id: late\r\nContent-Length: 4\r\n\r\nbo")
+            await asyncio.sleep(0.3)
+            client.writer.write(b"dy")
+            self.assertEqual((await client.answer()).status, 200)
+            self.assertLess(await ending, 3.5)
+            self.assertEqual(site.calls[0].body, b"body")
+            site.close()
+        self.play(scene)
+
+    def test_a_stream_that_breaks_during_the_end_is_still_resumed(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=streaming(5, 0.2, then="reset"), s2=streaming(12, 0.2))
+            answers = [asyncio.ensure_future(site.ask("/resume/1")) for _ in range(4)]
+            await asyncio.sleep(0.05)
+            await self.end(site)
+            for answer in await asyncio.gather(*answers):
+                self.assertEqual((answer.whole, answer.body), (True, events(1, 12)))
+            site.close()
+        self.play(scene)
+
+    def test_a_term_before_anything_is_known_ends_too(self) -> None:
+        async def scene() -> None:
+            site = Site()
+            await site.plane.start()
+            self.assertLess(await self.end(site), 3.0)
+            site.close()
+        self.play(scene)
