--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -122,9 +122,9 @@
         input_tokens, output_tokens = _token_counts(told.get(TOKEN_COUNT))
         service = route.pick_service(draw)
         routing = RoutingRequest(
-            ticket=ticket, service=service, route=route.name, priority=priority,
-            deadline=hold_limit, target_s=route.target_latency_ms / 1e3, arrived=arrived,
-            max_attempts=max(1, int(route.max_attempts)), repeatable=route.repeatable, sticky=route.sticky, model=told.get(MODEL, b"").decode("latin-1"),
+            ticket=ticket, service=service, route=route.name, priority=priority, deadline=hold_limit,
+            target_s=route.target_latency_ms / 1e3, arrived=arrived, max_attempts=max(1, int(route.max_attempts)),
+            repeatable=route.repeatable, sticky=route.sticky, model=told.get(MODEL, b"").decode("latin-1"),
             parts=_parts(told.get(PROMPT_PREFIX)) if route.sticky else (),
             input_tokens=input_tokens, output_tokens=output_tokens,
         )
--- a/tests/fleet/test_data_terms.py
+++ b/tests/fleet/test_data_terms.py
@@ -97,7 +97,8 @@
 
     def test_a_request_that_waited_is_not_sent_once_its_key_or_route_is_gone(self) -> None:
         async def scene() -> None:
-            for changes, status in (({"tenants": [{"name": "first", "api_keys": ["k1"]}]}, 401), ({"routes": []}, 404)):
+            without_key = {"tenants": [{"name": "first", "api_keys": ["k1"]}]}
+            for changes, status in ((without_key, 401), ({"routes": []}, 404)):
                 site = await Site().start()
                 site.quota.held = []
                 client = await site.client()
