Keep connections to servers within the edge's share, and take new settings while serving

Need: shares shrink when edges come, settings change at SIGHUP, and three checks had no test that fails without them: an end that has come unseen on either side, and a process that stood still. Change: idle connections beyond the share go; apply_settings; connect limit 0.3 s; tests of connections and of a router that sends on whatever it is told.

--- a/rosechute/data/front.py
+++ b/rosechute/data/front.py
@@ -48,6 +48,10 @@
         self.listener.let_in()
         return taken
 
+    def resize(self, connections: int) -> None:
+        """Another number of connections that clients may hold."""
+        self.listener.resize(connections, int(connections * CROWD_SHARE))
+
     def apply_limits(self, limits: Limits) -> None:
         """Other bounds on what clients may send from now on, also on connections that are open."""
         terms, times = self._terms, self._times
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from hollyport.core.flow import Budget
-from hollyport.core.shares import descriptors
+from hollyport.core.shares import Descriptors, descriptors
 from hollyport.http1.message import Message
 from rosechute.configuration.operator import Configuration, Tenant
 from rosechute.configuration.process import ProcessSettings
@@ -25,6 +25,7 @@
 OTHER_PLANES_MB = 36  # memory of the program beyond the data plane's own
 DESCRIPTORS_RESERVED = 200  # of all: for files outside the data folder
 LINKS_RESERVED = 128  # descriptors for the links between processes
+LEAST_SOCKETS = 64  # descriptors that clients and servers get in any case
 LEASE_MARGIN_S = 0.3  # a request is sent no later than so long before the lease on the configuration ends
 LEASE_RETRY_S = 0.5  # when to come back where the lease has ended
 UNREADY_RETRY_S = 0.3  # when to come back where there is no configuration yet
@@ -41,9 +42,8 @@
         self.loop = loop
         self._settings, self._quota, self._freshness, self._draw = settings, quota, freshness, draw
         self._clock = clock  # the loop's clock, read anew: the loop's own time stands still while a turn lasts
-        limits = settings.limits
-        shares = descriptors(max(64, limits.max_fds - DESCRIPTORS_RESERVED - LINKS_RESERVED))
-        self.budget = Budget(max(1, int(limits.memory_mb) - OTHER_PLANES_MB))
+        shares = _descriptors(settings)
+        self.budget = Budget(_memory_mb(settings))
         self.servers = Servers(loop, self.budget, shares.servers)
         self.front = Front(loop, self.budget, shares.clients, self._admit, self._take)
         self._dispatcher = Dispatcher(loop, router, self.servers)
@@ -102,6 +102,15 @@
         self.servers.apply(service, entries)
         self._dispatcher.apply_servers(service, entries)
 
+    def apply_settings(self, settings: ProcessSettings) -> None:
+        """Go by these settings from now on; the address at which clients are taken stays."""
+        self._settings = settings
+        shares = _descriptors(settings)
+        self.budget.resize(_memory_mb(settings), 1)
+        self.front.resize(shares.clients)
+        self.servers.resize(shares.servers)
+        self._dispatcher.apply_retry_budget(settings.bounds, self._edges)
+
     def apply_edges(self, count: int) -> None:
         """So many edges share what is limited over all of them."""
         if count != self._edges:
@@ -113,7 +122,9 @@
         if self._in_force is None:
             return
         for service in self._in_force.configuration.services:
-            self._dispatcher.apply_limits(service.name, int(service.max_connections), self._edges)
+            most = int(service.max_connections)
+            self.servers.share(service.name, max(1, most // self._edges))
+            self._dispatcher.apply_limits(service.name, most, self._edges)
 
     # --- requests in
 
@@ -183,5 +194,15 @@
         self.front.over(request)
 
 
+def _descriptors(settings: ProcessSettings) -> Descriptors:
+    """How many connections clients and servers may hold."""
+    return descriptors(max(LEAST_SOCKETS, settings.limits.max_fds - DESCRIPTORS_RESERVED - LINKS_RESERVED))
+
+
+def _memory_mb(settings: ProcessSettings) -> int:
+    """Memory of the data plane."""
+    return max(1, int(settings.limits.memory_mb) - OTHER_PLANES_MB)
+
+
 def _name(tenant: Tenant | None) -> str:
     return tenant.name if tenant is not None else ""
--- a/rosechute/data/servers.py
+++ b/rosechute/data/servers.py
@@ -13,7 +13,7 @@
 from rosechute.configuration.process import split_address
 from rosechute.routing.model import ServerEntry
 
-CONNECT_S = 0.5  # within which a connection must come up; a server that is up takes milliseconds
+CONNECT_S = 0.3  # within which a connection must come up; a server that is up takes milliseconds
 IDLE_S = 4.0  # for how long an idle connection is kept where the server does not say how long it keeps it
 IDLE_MARGIN_S = 1.0  # before the end of that time; half of it where it is shorter than twice this
 SWEEP_S = 0.25
@@ -55,6 +55,7 @@
         self._loop, self._budget = loop, budget
         self.most = most  # connections to all servers together
         self._servers: dict[str, Server] = {}
+        self._shares: dict[str, int] = {}  # connections to each server of a service
         self._open = 0
         self._sweeping: asyncio.TimerHandle | None = None
 
@@ -81,6 +82,19 @@
         """A service has left the configuration."""
         self.apply(service, ())
 
+    def share(self, service: str, most: int) -> None:
+        """So many connections may be open to each server of this service."""
+        self._shares[service] = most
+        for server in self._servers.values():
+            while server.service == service and server.idle and server.links > most:
+                self._retire(server)
+
+    def resize(self, most: int) -> None:
+        """So many connections may be open to all servers together; those that rest give way."""
+        self.most = most
+        while self._open > most and self._rest_ends():
+            pass
+
     def find(self, server_id: str) -> Server | None:
         """The server with this id, if the list has it."""
         return self._servers.get(server_id)
@@ -108,7 +122,13 @@
 
     def _close_idle(self, server: Server) -> None:
         while server.idle:
-            server.idle.popleft().wire.close()
+            self._retire(server)
+
+    def _retire(self, server: Server) -> None:
+        """Close the connection that has rested longest. It counts no more, though its end takes a turn."""
+        link = server.idle.popleft()
+        self._uncount(link)
+        link.wire.close()
 
     # --- connections
 
@@ -120,6 +140,7 @@
             link = server.idle.popleft()
             if link.retire_at > now and link.wire.silent():
                 return link
+            self._uncount(link)
             link.wire.close()
         return None
 
@@ -153,7 +174,8 @@
         if reply is not None:
             link.used = True
             self._heed(server, reply)
-        if not server.ready or not link.wire.reusable:
+        too_many = server.links > self._shares.get(server.service, server.links)
+        if not server.ready or not link.wire.reusable or too_many:
             link.wire.close()
             return
         link.retire_at = self._loop.time() + server.idle_s
@@ -171,12 +193,14 @@
 
     def _has_room(self) -> bool:
         """Whether one more connection may be opened; the one that has rested longest gives way to it."""
-        if self._open < self.most:
-            return True
+        return self._open < self.most or self._rest_ends()
+
+    def _rest_ends(self) -> bool:
+        """Close the connection that has rested longest of all; whether there is one."""
         resting = [server for server in self._servers.values() if server.idle]
         if not resting:
             return False
-        min(resting, key=lambda server: server.idle[0].retire_at).idle.popleft().wire.abort()
+        self._retire(min(resting, key=lambda server: server.idle[0].retire_at))
         return True
 
     def _lost(self, wire: Connection) -> None:
@@ -208,7 +232,7 @@
         for server in self._servers.values():
             idle = server.idle
             while idle and idle[0].retire_at <= now:
-                idle.popleft().wire.close()
+                self._retire(server)
             left = left or bool(idle)
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep) if left else None
 
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import replace
 
-from rosechute.data.request import ClientRequest
+from rosechute.data.request import ClientRequest, RequestState
+from rosechute.routing.model import AttemptResult, RoutingAction, Send, ServerEntry
 from tests.fleet.data_site import Call, Script, Site, SiteCase, Talk, configuration, event, plain, route, until_closed
 from tests.fleet.test_data_streams import events, streaming
 
@@ -269,6 +271,84 @@
         self.play(scene)
 
 
+class NotReadYet(SiteCase):
+    def test_a_timer_that_comes_before_what_has_come_is_read_ends_no_stream(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=streaming(60), s2=streaming(60))
+            answer = asyncio.ensure_future(site.ask("/resume/1"))
+            await asyncio.sleep(0.5)
+            site.loop._jump.now += 3.5  # type: ignore[attr-defined]
+            request, = site.plane.front.requests.values()
+            request._look()  # as on a loop that calls timers before it reads
+            self.assertIs(request.state, RequestState.PASSING)
+            self.assertFalse((await answer).whole)  # the route's time is over
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
+    def test_a_client_that_has_left_unseen_is_not_sent_for(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            await site.ask()  # leaves a connection that can be written to at once
+            site.quota.held = []
+            client = await site.client()
+            client.send(key="m1")
+            await asyncio.sleep(0.1)
+            client.writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            site.quota.held[0](True, 0.0)  # in the same turn: its end has come and is not read
+            await asyncio.sleep(0.1)
+            self.assertEqual((len(site.calls), len(site.plane.front.requests)), (1, 0))
+            site.close()
+        self.play(scene)
+
+    def test_a_connection_whose_end_has_come_unseen_is_not_taken(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            with socket.create_server(("127.0.0.1", 0)) as listening:
+                site.list(ServerEntry("raw", f"127.0.0.1:{listening.getsockname()[1]}", "east", 8, True))
+                client = await site.client()
+                client.send(id="one")
+                await asyncio.sleep(0.01)
+                accepted, _ = listening.accept()
+                accepted.recv(65536)
+                accepted.sendall(
+                    b"HTTP/1.1 200 OK\r\nX-Rosechute-Request-Id: one\r\nX-Rosechute-Server-Stamp: s\r\n"
+                    b"Content-Length: 0\r\n\r\n"
+                )
+                self.assertEqual((await client.answer()).status, 200)
+                server = site.plane.servers.find("raw")
+                assert server is not None
+                self.assertEqual(len(server.idle), 1)
+                accepted.close()
+                self.assertIsNone(site.plane.servers.take(server))
+            site.close()
+        self.play(scene)
+
+
+class CarelessRouter(SiteCase):
+    def test_however_the_router_answers_nothing_that_may_have_run_is_sent_again(self) -> None:
+        async def scene() -> None:
+            async def reset(talk: Talk, call: Call) -> None:
+                talk.reset()
+
+            site = await Site().start(s1=reset)
+            entry = site.servers["s1"].entry
+            careless = site.router.report
+
+            def report(
+                now: float, ticket: int, server_id: str, result: AttemptResult, again: bool
+            ) -> list[RoutingAction]:
+                careless(now, ticket, server_id, result, again)
+                return [Send(ticket, entry.id, entry.address, False)]
+
+            site.router.report = report  # type: ignore[method-assign]
+            for path in ("/plain/1", "/stream/1"):
+                self.assertEqual((await site.ask(path)).status, 502)
+            self.assertEqual(len(site.calls), 2)
+            site.close()
+        self.play(scene)
+
+
 class StandingStill(SiteCase):
     def test_events_that_came_while_the_process_stood_still_count(self) -> None:
         async def scene() -> None:
