--- a/rosechute/distribution/leader_search.py
+++ b/rosechute/distribution/leader_search.py
@@ -67,7 +67,7 @@
 
     def due(self, now: float) -> list[tuple[str, int]]:
         """Renewals to be sent now: address and number."""
-        if self.state is SearchState.ATTACHED and any(now - sent >= SILENCE_S for sent in self._waiting()):
+        if self.state is SearchState.ATTACHED and any(now >= sent + SILENCE_S for sent in self._waiting()):
             self._to_searching(now)
         if now < self._next_at:
             return []
