--- /dev/null
+++ b/tests/fleet/test_deploy_files.py
@@ -0,0 +1,66 @@
+"""The deploy file and the deployments of our own for the bench: what can be checked without it."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+import unittest
+from importlib.util import find_spec
+from pathlib import Path
+from typing import Any
+
+DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
+SITES = ("harbour-ferries", "valley-registry")
+SLOTS = {"quiet", "trouble", "scale"}
+
+
+def read(path: Path) -> dict[str, Any]:
+    """A TOML file."""
+    return tomllib.loads(path.read_text(encoding="utf-8"))
+
+
+class DeployFile(unittest.TestCase):
+    """deploy/system.toml."""
+
+    def test_roles_name_programs_that_exist(self) -> None:
+        for name, role in read(DEPLOY / "system.toml")["roles"].items():
+            program, option, module = role["run"].split()
+            self.assertEqual((program, option), ("python3", "-m"), name)
+            self.assertIsNotNone(find_spec(module), module)
+
+    def test_each_side_is_served_once(self) -> None:
+        served = [side for role in read(DEPLOY / "system.toml")["roles"].values() for side in role["serves"]]
+        self.assertEqual(sorted(served), ["control_plane", "edge"])
+
+    def test_the_build_is_there(self) -> None:
+        command, script = read(DEPLOY / "system.toml")["build"].split()
+        self.assertEqual(command, "sh")
+        self.assertTrue((DEPLOY.parent / script).is_file())
+
+
+class Sites(unittest.TestCase):
+    """deploy/sites."""
+
+    def test_every_name_in_a_site_is_defined_there(self) -> None:
+        for name in SITES:
+            path = DEPLOY / "sites" / name / f"{name}.toml"
+            site = read(path)
+            zones = {zone["name"] for zone in site["zones"]}
+            services = {service["name"] for service in site["services"]}
+            classes = {kind["name"] for kind in site["classes"]}
+            with self.subTest(name):
+                json.loads((path.parent / site["wire"]).read_text(encoding="utf-8"))
+                self.assertEqual({day["slot"] for day in site["day"]}, SLOTS)
+                self.assertLessEqual({kind["service"] for kind in site["classes"]}, services)
+                places = site["machines"] + site["traffic"] + [site["cloud"]]
+                places += [server for service in site["services"] for server in service["servers"]]
+                places += [flow for day in site["day"] for flow in day.get("traffic", [])]
+                self.assertLessEqual({place["zone"] for place in places}, zones)
+                for flow in site["traffic"] + [flow for day in site["day"] for flow in day.get("traffic", [])]:
+                    self.assertEqual(set(flow["mix"]), classes)
+
+    def test_the_core_outlives_what_a_site_has_it_bear(self) -> None:
+        for name in SITES:
+            site = read(DEPLOY / "sites" / name / f"{name}.toml")
+            core = sum(machine["count"] for machine in site["machines"] if machine["class"] == "core")
+            self.assertGreater(core, 2 * site["tolerate"]["machines"], name)
