--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -70,6 +70,7 @@
             await asyncio.sleep(FAREWELL_S)
         if self._writer is not None:
             self._writer.stop()
+        await self._api.stop()
         await self._list_client.close()
         self._server.close()
         self._pool.close()
