Core process: state for operators, the fleet's log, early SIGHUP

An operator can ask a core machine who leads, of whom the chain consists and how old its writes are. A SIGHUP that comes before the loop handles it no longer ends the process.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -6,8 +6,9 @@
 import asyncio
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
+from aiohttp import web
 from loguru import logger
 from returns.result import Failure
 
@@ -26,6 +27,7 @@
 from rosechute.storage.record_store import RecordStore
 from rosechute.storage.writer import StoreWriter
 
+from .core_report import CoreReport, core_report
 from .list_client import ListClient
 from .list_reader import ListReader
 from .operator_api import OperatorApi
@@ -40,7 +42,9 @@
 class CoreMachine:
     """Everything that runs on one core machine, on one event loop."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(
+        self, settings: ProcessSettings, extend_api: Callable[[web.Application], None] | None = None
+    ) -> None:
         self._settings = settings
         self._clock = time.monotonic
         self._draw = random.SystemRandom().random
@@ -51,7 +55,7 @@
         self._core: tuple[CoreAddress, ...] = ()
         self._pool = LinkPool(self._received)
         self._server = LinkServer(settings.core_link_address, self._received, self._closed)
-        self._api = OperatorApi(self, settings.listen.control)
+        self._api = OperatorApi(self, settings.listen.control, extend_api)
         self._list_client = ListClient(settings.cloud_api.address)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -83,6 +87,15 @@
         if self._runtime is not None:
             self._runtime.replica.update_seeds(_seeds(settings))
 
+    def report(self) -> CoreReport | None:
+        """What an operator may want to know; None until the records are loaded."""
+        if self._runtime is None or self._writer is None:
+            return None
+        now = self._clock()
+        pending = self._writer.oldest_pending()
+        waits_s = 0.0 if pending is None else now - pending
+        return core_report(self._runtime.replica, now, waits_s, self._publisher.edges_total(now))
+
     # What the operator's API asks
 
     def submit(self, base_version: int, version: int, body: bytes, digest: bytes) -> asyncio.Future[Outcome]:
--- a/rosechute/control/operator_api.py
+++ b/rosechute/control/operator_api.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from aiohttp import web
@@ -48,9 +48,13 @@
 class OperatorApi:
     """Serves the control address of this machine."""
 
-    def __init__(self, chain: Chain, control_address: str) -> None:
+    def __init__(
+        self, chain: Chain, control_address: str, extend: Callable[[web.Application], None] | None = None
+    ) -> None:
+        """`extend` adds what else is served at the same address."""
         self._chain = chain
         self._control_address = control_address
+        self._extend = extend
         self._runner: web.AppRunner | None = None
 
     def application(self) -> web.Application:
@@ -58,6 +62,8 @@
         application = web.Application(client_max_size=BODY_LIMIT_BYTES)
         application.router.add_post(REPLACE_PATH, self.replace)
         application.router.add_get(READ_PATH, self.read)
+        if self._extend is not None:
+            self._extend(application)
         return application
 
     async def start(self) -> None:
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -4,6 +4,7 @@
 
 # isort: split
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -13,10 +14,12 @@
 
 from rosechute.configuration.process import SETTINGS_VARIABLE, ProcessSettings, load, load_from_environment
 from rosechute.control.core_machine import CoreMachine
+from rosechute.processes import logs
+from rosechute.processes.state import ProcessState
 
 SETTINGS_POLL_S = 1.0
 STOP_WITHIN_S = 0.8
-LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
+EXIT_UNUSABLE = 2  # the settings can't be used, or an address is taken
 
 
 class CoreProcess:
@@ -26,16 +29,20 @@
         self._settings = settings
         self._path = path
         self._read: tuple[int, int] = _version_of(path)
-        self._machine = CoreMachine(settings)
+        state = ProcessState(settings)
+        self._machine = CoreMachine(settings, state.add_to)
+        state.add("core", self._machine.report)
         self._ends = asyncio.Event()
 
     async def run(self) -> None:
         """Until SIGTERM or SIGINT."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_report)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ends.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._machine.start()
+        gc.freeze()  # what is loaded by now stays: later collections needn't look at it
         logger.info("core machine {} listens at {}", self._settings.node_name, self._settings.listen.control)
         poll = asyncio.create_task(self._poll())
         await self._ends.wait()
@@ -62,26 +69,42 @@
 
 def main() -> int:
     """Run the program; the exit status."""
-    logger.remove()
-    logger.add(sys.stderr, format=LOG_FORMAT, level="INFO")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it
     loaded = load_from_environment()
     if isinstance(loaded, Failure):
-        logger.error("settings: {}", loaded.failure())
-        return 2
-    if not loaded.unwrap().data_dir or not loaded.unwrap().listen.control:
-        logger.error("settings: a core machine needs `data_dir` and `listen.control`")
-        return 2
+        logs.set_up()
+        logger.critical("settings: {}", loaded.failure())
+        return EXIT_UNUSABLE
+    settings = loaded.unwrap()
+    logs.set_up(settings.log_level)
+    if not settings.data_dir or not settings.listen.control:
+        logger.critical("settings: a core machine needs `data_dir` and `listen.control`")
+        return EXIT_UNUSABLE
+    return _run(settings)
+
+
+def _run(settings: ProcessSettings) -> int:
     try:
-        asyncio.run(_run(loaded.unwrap(), os.environ[SETTINGS_VARIABLE]))
+        asyncio.run(_life(settings, os.environ[SETTINGS_VARIABLE]))
     except TimeoutError:
         logger.warning("ended without having closed everything")
+    except OSError as error:
+        logger.critical("{} cannot serve: {}", settings.node_name, error)
+        return EXIT_UNUSABLE
     return 0
 
 
-async def _run(settings: ProcessSettings, path: str) -> None:
+async def _life(settings: ProcessSettings, path: str) -> None:
     await CoreProcess(settings, path).run()
 
 
+def _report(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+    """Log what the event loop found in a callback or task that nobody awaits."""
+    error = context.get("exception")
+    known = error if isinstance(error, BaseException) else None
+    logger.opt(exception=known).error("loop: {}", context.get("message"))
+
+
 def _version_of(path: str) -> tuple[int, int]:
     """Changes when the file does."""
     try:
--- a/tests/fleet/test_control_runtime.py
+++ b/tests/fleet/test_control_runtime.py
@@ -5,6 +5,7 @@
 from unittest import IsolatedAsyncioTestCase, mock
 
 from rosechute.control import replica_runtime
+from rosechute.control.core_report import core_report
 from rosechute.coordination.types import Acknowledged, Stale
 from rosechute.storage.layout import encode_slot
 
@@ -28,6 +29,21 @@
             assert read is not None
             self.assertEqual((read.version, read.body), (4, b"4 on 1 "))
 
+    async def test_the_report_of_each_machine(self) -> None:
+        core = await self.cluster()
+        await core.run_for(2.0)
+        reports = []
+        for machine in core.machines:
+            assert machine.runtime is not None
+            reports.append(core_report(machine.runtime.replica, core.now, 0.02, 0))
+        leader = next(each for each in reports if each.leader)
+        self.assertEqual(sum(each.leader for each in reports), 1)
+        for each in reports:
+            self.assertEqual((each.leader_name, each.term), (leader.leader_name, leader.term))
+            self.assertEqual((each.config_version, each.config_sequence, each.write_age_ms), (1, 1, 20))
+            self.assertEqual(sorted(each.chain), [machine.control for machine in core.machines])
+            self.assertLess(each.config_age_ms or 0, 1000)
+
     async def test_the_same_order_again_is_acknowledged_and_another_one_refused(self) -> None:
         core = await self.cluster()
         await core.order(1, 2, ACK_S)
