Edge program whole, with quotas from the leader

Need: the first edge program let every quota pass, handed a link's error on where an address was due, and never ended links that were not needed any more.

Change: the program in parts: early start (signals, no garbage collection while loading), links and subscriber by one timer, quota client over a pure wallet (one ask at a time for each tenant, tokens void a lifetime after the ask was sent, refused at once where tokens would come too late), settings read again, state for operators, orderly end. A configuration that can't be read confirms nothing from there on.

Measured: 11 tests of the wallet pass, in 12 exchanges with the leader's buckets no window saw more than the rule allows and over 0.75 of the rate was spent; the planted full buckets are found.

--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -85,6 +85,10 @@
         """Where a topic stands here."""
         return self._store.position(topic)
 
+    def positions(self) -> dict[str, Position]:
+        """Where every topic stands here."""
+        return {topic: self._store.position(topic) for topic in self._store.topics()}
+
     def follow_state(self, topic: str) -> FollowState:
         """How news of a topic comes here."""
         return self._homes.state(topic)
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -1,122 +1,188 @@
 """The program of an edge machine. `ROSECHUTE_NODE_FILE` names its settings file."""
 
+import rosechute.processes.early_start  # noqa: F401
+
+# isort: split
 import rosechute.processes.plain_http  # noqa: F401
 
 # isort: split
 import asyncio
 import gc
+import math
 import os
-import random
+import secrets
 import signal
 import sys
-import time
 
 from aiohttp import web
 from loguru import logger
 from returns.result import Failure
 
 from rosechute.configuration.operator import parse
-from rosechute.configuration.process import SETTINGS_VARIABLE, ProcessSettings, load, load_from_environment
+from rosechute.configuration.process import (
+    SETTINGS_VARIABLE,
+    ProcessSettings,
+    load,
+    load_from_environment,
+    split_address,
+)
 from rosechute.data.plane import DataPlane
-from rosechute.distribution.actions import ConfigurationChanged, Dialed, EdgesTotalChanged, Send, ServersChanged
-from rosechute.distribution.membership import EdgeIdentity
-from rosechute.distribution.subscriber import Subscriber
-from rosechute.messages import distribution_pb2 as pb
-from rosechute.messages.framing import Kind
-from rosechute.messages.link import LinkPool, LinkServer
+from rosechute.distribution.actions import Action, ConfigurationChanged, EdgesTotalChanged, ServersChanged
+from rosechute.distribution.values import ListedServer
+from rosechute.processes import logs
+from rosechute.processes.edge_links import EdgeLinks
+from rosechute.processes.state import ProcessState
 from rosechute.routing.model import ServerEntry
 from rosechute.routing.router import Router
 from rosechute.routing.tuning import RouterTuning
 
-
-class AllowAll:
-    def spend(self, tenant, tokens, decided):
-        decided(True, 0.0)
-
-
-class Fresh:
-    def __init__(self, s):
-        self.s = s
-
-    def confirmed_at(self):
-        return self.s.confirmed_at
+SETTINGS_POLL_S = 1.0
+READINESS_PATH = "/readiness"
+BACKLOG = 64
 
 
 class EdgeProcess:
-    def __init__(self, settings):
-        self.settings = settings
-        self.pool = LinkPool(self.received_dialed, self.closed)
-        self.server = LinkServer(settings.edge_link_address, self.received, self.closed_in)
-        ident = EdgeIdentity(settings.node_name, settings.zone, settings.edge_link_address)
-        self.sub = Subscriber(time.monotonic(), ident, random.getrandbits(60), settings.seed_peers)
-
-    async def run(self):
+    """One life of the program: start, settings that change, end."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: ProcessSettings, path: str) -> None:
+        self._settings = settings
+        self._path = path
+        self._read = _version_of(path)
+        self._ends = asyncio.Event()
+        self._links = EdgeLinks(loop, settings, secrets.randbits(63), self._apply)
+        self._failed_sequence = 0  # of a configuration that could not be read
+        draw = secrets.SystemRandom().random
+        router = Router(draw, RouterTuning(zone=settings.zone))
+        self._plane = DataPlane(loop, settings, router, self._links.quota, self)
+        self._state = ProcessState(settings)
+        self._state.add("distribution", self._distribution_state)
+
+    async def run(self) -> None:
+        """Until SIGTERM or SIGINT, and then until everything is answered."""
         loop = asyncio.get_running_loop()
-        end = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, end.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
-        self.router = Router(random.random, RouterTuning())
-        self.plane = DataPlane(loop, self.settings, self.router, AllowAll(), Fresh(self.sub))
-        await self.plane.start()
-        await self.server.start()
-        app = web.Application()
-        app.router.add_get("/readiness", self.readiness)
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        host, port = self.settings.listen.readiness.split(":")
-        await web.TCPSite(runner, host, int(port)).start()
-        task = asyncio.create_task(self.tick())
-        logger.info("edge listens")
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._ends.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        runner = await self._listen_readiness()
+        await self._plane.start()
+        await self._links.start()
+        logger.info("edge {} takes clients at {}", self._settings.node_name, self._settings.listen.front)
+        gc.enable()
         gc.freeze()
-        await end.wait()
-        self.plane.begin_shutdown()
-        await self.plane.finish_shutdown()
-
-    async def readiness(self, request):
-        return web.Response(status=200 if self.plane.ready() else 503)
-
-    async def tick(self):
+        poll = loop.create_task(self._poll())
+        await self._ends.wait()
+        logger.info("edge {} shuts down", self._settings.node_name)
+        poll.cancel()
+        self._plane.begin_shutdown()
+        self._links.leave()
+        await self._plane.finish_shutdown()
+        self._links.close()
+        await runner.cleanup()
+
+    def confirmed_at(self) -> float:
+        """For the data plane: as of when the configuration in force was the newest one."""
+        return -math.inf if self._failed_sequence else self._links.subscriber.confirmed_at
+
+    def reload(self) -> None:
+        """Read the settings file again; one that can't be used changes nothing."""
+        self._read = _version_of(self._path)
+        loaded = load(self._path)
+        if isinstance(loaded, Failure):
+            logger.warning("settings: {}", loaded.failure())
+        elif loaded.unwrap() != self._settings:
+            self._settings = loaded.unwrap()
+            self._plane.apply_settings(self._settings)
+            self._links.change_settings(self._settings)
+            logger.info("settings changed")
+
+    async def _poll(self) -> None:
         while True:
-            self.carry(self.sub.tick(time.monotonic()))
-            await asyncio.sleep(max(0.01, min(0.2, self.sub.next_wake() - time.monotonic())))
-
-    def carry(self, actions):
-        for a in actions:
-            if isinstance(a, Send):
-                data = a.message.SerializeToString()
-                if isinstance(a.connection, Dialed):
-                    self.pool.send(a.connection.address, Kind.DISTRIBUTION, data)
-                else:
-                    a.connection.send(Kind.DISTRIBUTION, data)
-            elif isinstance(a, ConfigurationChanged):
-                self.plane.apply_configuration(parse(a.body).unwrap(), a.sequence)
-            elif isinstance(a, ServersChanged):
-                self.plane.apply_servers(a.service, [ServerEntry(s.id, s.address, s.zone, s.slots, s.ready, s.cold_until) for s in a.servers])
-            elif isinstance(a, EdgesTotalChanged):
-                self.plane.apply_edges(a.count)
-
-    def received(self, connection, kind, data):
-        self.carry(self.sub.receive(time.monotonic(), connection, pb.Distribution.FromString(data)))
-
-    def received_dialed(self, connection, kind, data):
-        self.carry(self.sub.receive(time.monotonic(), Dialed(connection.address), pb.Distribution.FromString(data)))
-
-    def closed(self, address):
-        self.carry(self.sub.connection_closed(time.monotonic(), Dialed(address)))
-
-    def closed_in(self, connection):
-        self.carry(self.sub.connection_closed(time.monotonic(), connection))
-
-
-def main():
+            await asyncio.sleep(SETTINGS_POLL_S)
+            if _version_of(self._path) != self._read:
+                self.reload()
+
+    async def _listen_readiness(self) -> web.AppRunner:
+        application = web.Application()
+        application.router.add_get(READINESS_PATH, self._readiness)
+        self._state.add_to(application)
+        runner = web.AppRunner(application, access_log=None, handle_signals=False)
+        await runner.setup()
+        host, port = split_address(self._settings.listen.readiness)
+        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
+        return runner
+
+    async def _readiness(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self._plane.ready() else 503)
+
+    def _apply(self, action: Action) -> None:
+        """Put in force what the distribution brought."""
+        match action:
+            case ConfigurationChanged():
+                self._apply_configuration(action)
+            case ServersChanged(service=service, servers=servers):
+                self._plane.apply_servers(service, [_entry(server) for server in servers])
+            case EdgesTotalChanged(count=count):
+                self._plane.apply_edges(count)
+
+    def _apply_configuration(self, change: ConfigurationChanged) -> None:
+        """A configuration that can't be read is not in force, so nothing is confirmed from there on."""
+        parsed = parse(change.body)
+        if isinstance(parsed, Failure):
+            self._failed_sequence = change.sequence
+            logger.error("configuration {}: {}", change.sequence, parsed.failure())
+            return
+        self._failed_sequence = 0
+        self._plane.apply_configuration(parsed.unwrap(), change.sequence)
+        logger.info("configuration {} in force, sequence {}", change.version, change.sequence)
+
+    def _distribution_state(self) -> dict[str, object]:
+        subscriber = self._links.subscriber
+        age = asyncio.get_running_loop().time() - self.confirmed_at()
+        return {
+            "leader": subscriber.leader,
+            "attached": subscriber.attached,
+            "edges_total": subscriber.edges_total,
+            "confirmed_age_s": round(age, 3) if math.isfinite(age) else None,
+            "topics": subscriber.positions(),
+        }
+
+
+def main() -> int:
+    """Run the program; the exit status."""
+    logs.set_up()
     loaded = load_from_environment()
     if isinstance(loaded, Failure):
-        logger.error("{}", loaded.failure())
+        logger.error("settings: {}", loaded.failure())
+        return 2
+    settings = loaded.unwrap()
+    logs.set_up(settings.log_level)
+    if not settings.listen.front or not settings.listen.readiness:
+        logger.error("settings: an edge machine needs `listen.front` and `listen.readiness`")
+        return 2
+    try:
+        asyncio.run(_run(settings, os.environ[SETTINGS_VARIABLE]))
+    except OSError as error:
+        logger.error("edge {}: listen: {}", settings.node_name, error)
         return 2
-    asyncio.run(EdgeProcess(loaded.unwrap()).run())
     return 0
 
 
+async def _run(settings: ProcessSettings, path: str) -> None:
+    await EdgeProcess(asyncio.get_running_loop(), settings, path).run()
+
+
+def _entry(server: ListedServer) -> ServerEntry:
+    return ServerEntry(server.id, server.address, server.zone, server.slots, server.ready, server.cold_until)
+
+
+def _version_of(path: str) -> tuple[int, int]:
+    """Changes when the file does."""
+    try:
+        told = os.stat(path)
+    except OSError:
+        return (0, 0)
+    return (told.st_mtime_ns, told.st_size)
+
+
 if __name__ == "__main__":
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(main())
--- /dev/null
+++ b/tests/fleet/test_distribution_wallet.py
@@ -0,0 +1,222 @@
+"""Quota tokens at an edge: spending, asking, waiting, refusing; and whole exchanges with a leader's buckets."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+import unittest
+from collections.abc import Callable
+
+from rosechute.control.quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+from rosechute.routing.quota_wallet import Ask, Decision, Issue, QuotaWallet
+
+ASKS = itertools.count(1)
+
+
+class Told:
+    """What was decided for requests."""
+
+    def __init__(self) -> None:
+        self.decisions: list[tuple[str, bool, float]] = []
+
+    def as_(self, name: str) -> Callable[[bool, float], None]:
+        return lambda allowed, retry_s: self.decisions.append((name, allowed, round(retry_s, 3)))
+
+    def tell(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            decision.decided(decision.allowed, decision.retry_after_s)
+
+
+class WalletTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.wallet = QuotaWallet()
+        self.told = Told()
+
+    def test_a_request_waits_for_the_tokens_it_needs(self) -> None:
+        self.told.tell(self.wallet.spend(0.0, "t", 100, self.told.as_("a")))
+        self.assertEqual(self.wallet.ask(0.0, 1), [Ask("t", 100, 100)])
+        self.assertEqual(self.wallet.ask(0.01, 2), [])
+        self.told.tell(self.wallet.issued(0.02, 1, [Issue("t", 100, 1.0, 0.0)]))
+        self.assertEqual(self.told.decisions, [("a", True, 0.0)])
+        self.assertEqual(self.wallet.held(0.02, "t"), 0)
+
+    def test_what_comes_meanwhile_goes_into_the_next_ask(self) -> None:
+        for name, at in (("a", 0.0), ("b", 0.001), ("c", 0.002)):
+            self.told.tell(self.wallet.spend(at, "t", 10, self.told.as_(name)))
+            self.wallet.ask(at, next(ASKS) + 100)
+        self.assertEqual(self.wallet.ask(0.003, 5), [])
+        request = min(self.wallet._asks)
+        self.told.tell(self.wallet.issued(0.004, request, [Issue("t", 10, 1.0, 0.0)]))
+        self.assertEqual(self.wallet.ask(0.004, 6), [Ask("t", 20, 10)])
+
+    def test_tokens_are_void_a_lifetime_after_the_ask(self) -> None:
+        self.wallet.spend(0.0, "t", 10, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.told.tell(self.wallet.issued(0.1, 1, [Issue("t", 30, 1.0, 0.0)]))
+        self.assertEqual(self.wallet.held(0.99, "t"), 20)
+        self.assertEqual(self.wallet.held(1.0, "t"), 0)
+        self.assertEqual(self.wallet.spend(1.0, "t", 10, self.told.as_("b")), [])
+
+    def test_an_answer_after_the_lifetime_gives_nothing(self) -> None:
+        self.wallet.spend(0.0, "t", 10, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.told.tell(self.wallet.issued(1.5, 1, [Issue("t", 10, 1.0, 0.0)]))
+        self.assertEqual(self.told.decisions, [])
+
+    def test_a_dry_bucket_refuses_at_once_what_would_come_too_late(self) -> None:
+        self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.told.tell(self.wallet.issued(0.01, 1, [Issue("t", 0, 1.0, 0.9)]))
+        self.assertEqual(self.told.decisions, [("a", False, 0.9)])
+        self.told.tell(self.wallet.spend(0.11, "t", 60, self.told.as_("b")))
+        self.assertEqual(self.told.decisions[1:], [("b", False, 0.8)])
+        self.assertEqual(self.wallet.spend(0.11, "t", 5, self.told.as_("smaller")), [])
+        self.assertEqual(self.wallet.ask(0.11, 2), [Ask("t", 5, 5)])
+
+    def test_a_dry_bucket_is_asked_again_within_the_wait(self) -> None:
+        self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.told.tell(self.wallet.issued(0.01, 1, [Issue("t", 0, 1.0, 0.05)]))
+        self.assertEqual(self.told.decisions, [])
+        self.assertEqual(self.wallet.ask(0.05, 2), [])
+        self.assertEqual(self.wallet.ask(0.061, 3), [Ask("t", 50, 50)])
+
+    def test_silence_is_asked_again_and_then_refused(self) -> None:
+        self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.assertEqual(len(self.wallet.ask(0.151, 2)), 1)
+        self.told.tell(self.wallet.tick(0.249, True))
+        self.assertEqual(self.told.decisions, [])
+        self.told.tell(self.wallet.tick(0.25, True))
+        self.assertEqual(self.told.decisions, [("a", False, 0.5)])
+
+    def test_without_a_leader_it_is_refused_sooner(self) -> None:
+        self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
+        self.assertEqual(self.wallet.next_due(0.0, False), 0.1)
+        self.told.tell(self.wallet.tick(0.1, False))
+        self.assertEqual(self.told.decisions, [("a", False, 0.5)])
+
+    def test_a_dense_demand_is_asked_for_ahead(self) -> None:
+        for number in range(200):
+            now = number * 0.005
+            self.told.tell(self.wallet.spend(now, "t", 10, self.told.as_("a")))
+            for ask in self.wallet.ask(now, number + 1):
+                self.told.tell(self.wallet.issued(now + 0.004, number + 1, [Issue("t", ask.tokens, 1.0, 0.0)]))
+        self.assertEqual(len([1 for _, allowed, _ in self.told.decisions if allowed]), 200)
+        self.assertLess(self.wallet._tenants["t"].total(), 400)
+        self.assertGreater(self.wallet._tenants["t"].ahead(1.0), 100)
+
+
+class ExchangeTest(unittest.TestCase):
+    """Edges with wallets, a leader with buckets, messages that take time and get lost, leaders that change."""
+
+    def test_no_window_sees_more_than_the_rule_allows(self) -> None:
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                spent, asked = exchange(seed)
+                self.assertLessEqual(worst_window(spent, 8.0), allowed_in(8.0))
+                self.assertGreater(sum(tokens for _, tokens in spent), 0.75 * RATE * SECONDS)
+                self.assertGreater(asked, len(spent))
+
+    def test_the_check_fails_where_new_leaders_begin_with_full_buckets(self) -> None:
+        """Planted: buckets that are full at the start of a lease."""
+        spent, _ = exchange(1, full_buckets=True)
+        self.assertGreater(worst_window(spent, 8.0), allowed_in(8.0))
+
+
+RATE, BURST, OVERSHOOT, SLACK, SECONDS = 20_000.0, 20_000.0, 0.1, 2_000.0, 40.0
+
+
+def allowed_in(window: float) -> float:
+    return (RATE * window + BURST) * (1 + OVERSHOOT) + SLACK
+
+
+def worst_window(spent: list[tuple[float, int]], window: float) -> float:
+    worst, total, start = 0.0, 0.0, 0
+    for at, tokens in spent:
+        total += tokens
+        while spent[start][0] < at - window:
+            total -= spent[start][1]
+            start += 1
+        worst = max(worst, total)
+    return worst
+
+
+def exchange(seed: int, full_buckets: bool = False) -> tuple[list[tuple[float, int]], int]:
+    """Requests at three times the limit at six edges; what was spent when, and how many asked."""
+    draw = random.Random(seed)
+    bounds = QuotaBounds(8.0, OVERSHOOT, SLACK)
+    limits = {"t": TenantLimit(RATE, BURST)}
+    issuers = [QuotaIssuer(bounds) for _ in range(2)]
+    for issuer in issuers:
+        issuer.configure(0.0, limits)
+    issuers[0].lease_gained(0.0)
+    wallets = [QuotaWallet() for _ in range(6)]
+    spent: list[tuple[float, int]] = []
+    events: list[tuple[float, int, Callable[[float], None]]] = []
+    numbers = itertools.count(1)
+    counts = {"asked": 0, "leader": 0}
+
+    def at(when: float, call: Callable[[float], None]) -> None:
+        heapq.heappush(events, (when, next(numbers), call))
+
+    def tell(decisions: list[Decision]) -> None:
+        for decision in decisions:
+            decision.decided(decision.allowed, decision.retry_after_s)
+
+    def arrive(now: float, wallet: QuotaWallet) -> None:
+        tokens = draw.choice((200, 700, 2000))
+        counts["asked"] += 1
+
+        def decided(allowed: bool, retry_s: float) -> None:
+            if allowed:
+                spent.append((clock[0], tokens))
+
+        tell(wallet.spend(now, "t", tokens, decided))
+        serve(now, wallet)
+        at(now + draw.expovariate(1.0) * 6 * 967 / (3 * RATE), lambda later: arrive(later, wallet))
+
+    def serve(now: float, wallet: QuotaWallet) -> None:
+        tell(wallet.tick(now, True))
+        request = next(numbers)
+        asks = wallet.ask(now, request)
+        if asks and draw.random() > 0.02:
+            name = str(wallets.index(wallet))
+            at(now + draw.uniform(0.001, 0.03), lambda later: answer(later, wallet, name, request, asks))
+        due = wallet.next_due(now, True)
+        if due < math.inf:
+            at(max(due, now + 0.002), lambda later: serve(later, wallet))
+
+    def answer(now: float, wallet: QuotaWallet, name: str, request: int, asks: list[Ask]) -> None:
+        wanted = [Wanted(ask.tenant, ask.tokens, ask.least) for ask in asks]
+        issued = issuers[counts["leader"]].issue(now, name, wanted)
+        issues = [
+            Issue(each.tenant, each.tokens, each.lifetime_ms / 1e3, each.retry_after_ms / 1e3) for each in issued
+        ]
+        if draw.random() < 0.02:
+            return
+        at(now + draw.uniform(0.001, 0.03), lambda later: taken(later, wallet, request, issues))
+
+    def taken(now: float, wallet: QuotaWallet, request: int, issues: list[Issue]) -> None:
+        tell(wallet.issued(now, request, issues))
+        serve(now, wallet)
+
+    def change_leader(now: float) -> None:
+        counts["leader"] ^= 1
+        issuers[counts["leader"]].lease_gained(now - 1000.0 if full_buckets else now)
+
+    clock = [0.0]
+    for wallet in wallets:
+        at(draw.random(), lambda now, wallet=wallet: arrive(now, wallet))  # type: ignore[misc]
+    for turn in range(1, 24 if full_buckets else 3):
+        at(turn * (1.5 if full_buckets else 12.5), change_leader)
+    while events and events[0][0] <= SECONDS:
+        clock[0], _, call = heapq.heappop(events)
+        call(clock[0])
+    return spent, counts["asked"]
+
+
+if __name__ == "__main__":
+    unittest.main()
