--- a/rosechute/processes/early_start.py
+++ b/rosechute/processes/early_start.py
@@ -1,6 +1,6 @@
 """What holds while a process still starts. To be imported before everything else.
 
-Signals: SIGHUP would end it; the settings are read later anyway. At SIGTERM it ends at once: it has taken nothing yet.
+Signals: SIGHUP would end it; the settings are read later anyway. SIGTERM ends it at once: it has taken nothing yet.
 Garbage collection is off: nothing that is loaded goes away again; the program turns it on when it has started.
 """
 
