Let a stream that brings events go on to its client's deadline, past the route's time

Cause: streams were cut in their middle at the route's timeout_ms while their clients still read them; each was worth lost and broken off midway. Ruled out: that holding them is priced (the price stayed at 0). Change: the route's time bounds the wait for the first event; a stream that brings events ends with the client's deadline.

--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -56,8 +56,8 @@
     host: str
     path: str
     arrived: float
-    client_limit: float  # steady time at which the client gives up
-    hold_limit: float  # steady time by which it is to be answered
+    client_limit: float  # steady time at which the client gives up, or so little before that an answer arrives
+    hold_limit: float  # steady time by which it is to be answered: the route's time may be shorter than the client's
     silence_s: float  # for how long a client waits for the next event; 0 where the answer is no stream
     cost: int  # tokens or requests of the tenant's quota
     priority: int  # rank among all pairs of a tenant's and a route's priority; 0 is the most urgent
@@ -116,20 +116,22 @@
         arrived = min(now, message.came)
         wait_s = route.timeout_ms / 1e3
         client_s = _milliseconds(told.get(DEADLINE), wait_s)
+        client_limit = arrived + client_s - HOLD_MARGIN_S
         hold_limit = arrived + min(client_s, wait_s) - HOLD_MARGIN_S
         silence_s = _silence_s(route) if route.streaming else 0.0
         priority = self._ranks[(tenant.priority if tenant is not None else 0, route.priority)]
         input_tokens, output_tokens = _token_counts(told.get(TOKEN_COUNT))
         service = route.pick_service(draw)
         routing = RoutingRequest(
-            ticket=ticket, service=service, route=route.name, priority=priority, deadline=hold_limit,
+            ticket=ticket, service=service, route=route.name, priority=priority,
+            deadline=client_limit if route.streaming else hold_limit,
             target_s=route.target_latency_ms / 1e3, arrived=arrived, max_attempts=max(1, int(route.max_attempts)),
             repeatable=route.repeatable, sticky=route.sticky, model=told.get(MODEL, b"").decode("latin-1"),
             parts=_parts(told.get(PROMPT_PREFIX)) if route.sticky else (),
             input_tokens=input_tokens, output_tokens=output_tokens,
         )
         return Admitted(
-            request_id, route, service, tenant, key, host, path, arrived, arrived + client_s, hold_limit, silence_s,
+            request_id, route, service, tenant, key, host, path, arrived, client_limit, hold_limit, silence_s,
             _cost(tenant, told.get(TOKEN_COUNT), input_tokens + output_tokens), priority, routing,
             _head(message, tenant, priority * PRIORITIES // len(self._ranks)), told.get(LAST_EVENT_ID), self.sequence,
         )
--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -84,7 +84,7 @@
 
     __slots__ = (
         "message", "admitted", "ticket", "state", "_desk", "_loop", "_attempt", "_ran", "_failure", "_last", "_begun",
-        "_events", "_paused", "_limit", "_silence", "_heard", "_told", "_caught_up",
+        "_events", "_paused", "_limit", "_limit_at", "_silence", "_heard", "_told", "_caught_up",
     )
 
     def __init__(self, desk: Desk, message: Message, admitted: Admitted) -> None:
@@ -99,6 +99,7 @@
         self._begun = False  # whether an answer has begun that is passed on as it comes
         self._events: EventStream | None = None  # of that answer, where it may be joined from several runs
         self._paused = False  # whether the client does not take what is passed on
+        self._limit_at = admitted.hold_limit  # when it is ended, whatever is under way
         self._limit: asyncio.TimerHandle | None = self._loop.call_at(admitted.hold_limit, self._time_up)
         self._silence: asyncio.TimerHandle | None = None
         self._caught_up = False  # whether this process has stood still, and had time to read what came meanwhile
@@ -180,14 +181,14 @@
         waited = self._loop.time() - admitted.arrived > FRESH_S
         if waited and not self._still_there():
             return None
-        left = min(admitted.hold_limit, admitted.client_limit) - self._loop.time()
-        if left <= 0.0:
-            self._time_up()
+        if not self._time_left():
+            self._give_up()
             return None
+        limit = admitted.client_limit if admitted.route.streaming else admitted.hold_limit
         self._change(RequestState.SENT)
         self._heard = self._loop.time()
         self._watch()
-        return attempt_wire(admitted, server.id, left, self._resume(), self.message.body)
+        return attempt_wire(admitted, server.id, limit - self._heard, self._resume(), self.message.body)
 
     def begin(self, attempt: Attempt, reply: Reply, length: int | None) -> Sink | None:
         """See `AttemptOwner`. The head of the first server's answer is the client's."""
@@ -421,11 +422,18 @@
     # --- time
 
     def _time_left(self) -> bool:
-        return self._loop.time() < self.admitted.hold_limit
+        return self._loop.time() < self._limit_at
 
     def _time_up(self) -> None:
-        """The client gives up soon, or the route's time is over."""
-        self._give_up()
+        """The route's time is over, or the client gives up soon. A stream that brings events is answered already:
+        it goes on for as long as its client waits."""
+        limit = self.admitted.client_limit
+        brings_events = self._begun and self.admitted.route.streaming and self._told > self.admitted.arrived
+        if not brings_events or self._limit_at >= limit:
+            self._give_up()
+            return
+        self._limit_at = limit
+        self._limit = self._loop.call_at(limit, self._time_up)
 
     def _give_up(self) -> None:
         """End it now, whatever is under way."""
