--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -1,5 +1,8 @@
 """The program of a core machine. `ROSECHUTE_NODE_FILE` names its settings file."""
 
+import rosechute.processes.early_start  # noqa: F401
+
+# isort: split
 import rosechute.processes.plain_http  # noqa: F401
 
 # isort: split
@@ -43,6 +46,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._machine.start()
         gc.freeze()  # what is loaded by now stays: later collections needn't look at it
+        gc.enable()
         logger.info("core machine {} listens at {}", self._settings.node_name, self._settings.listen.control)
         poll = asyncio.create_task(self._poll())
         await self._ends.wait()
@@ -69,7 +73,6 @@
 
 def main() -> int:
     """Run the program; the exit status."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it
     loaded = load_from_environment()
     if isinstance(loaded, Failure):
         logs.set_up()
