A process that is about to end leaves the chain and the lease at once

Cause: a planned stop of a core machine cost the others the time of a failure. Change: resign tells the others by a heartbeat; they plan without the machine, and free the lease at once. Measured: out of the chain within 0.6 s, an order within 1 s, for every role at 3 and 4 machines (schedule).

--- a/rosechute/coordination/context.py
+++ b/rosechute/coordination/context.py
@@ -26,6 +26,7 @@
     outbox: Outbox
     detector: Detector
     newcomer: bool = False  # started with the system, and not an acceptor so far
+    leaving: bool = False  # the process is about to end
     joined: int = 0  # epoch that this process adopted itself, synced
     adopted: int = 0  # newest epoch whose adoption is synced
     announce: bool = False  # tell the others the new state at once
@@ -40,6 +41,11 @@
         """Whether this machine stores in the current view."""
         return self.own.id in self.memory.view.chain
 
+    @property
+    def healthy(self) -> bool:
+        """Whether the others may count on this machine."""
+        return self.disk.healthy() and not self.leaving
+
     @property
     def settled(self) -> bool:
         """Whether the epoch in memory is adopted on disk and not sealed."""
--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -85,7 +85,7 @@
             self._conflicts.clear()
 
     def _judge(self, now: float, peer: Peer) -> None:
-        healthy = bool(peer.beat.disk_healthy) and self.reaches(now, peer.identity.id)
+        healthy = bool(peer.beat.healthy) and self.reaches(now, peer.identity.id)
         if healthy and not peer.healthy:
             peer.healthy_since = now
         peer.healthy = healthy
@@ -104,7 +104,7 @@
         return [machine_id for machine_id in self.peers if self.reaches(now, machine_id)]
 
     def healthy(self, machine_id: str) -> bool:
-        """Whether another machine is reached and its disk works."""
+        """Whether another machine is reached, its disk works and it is not about to end."""
         peer = self.peers.get(machine_id)
         return peer is not None and peer.healthy
 
--- a/rosechute/coordination/heartbeats.py
+++ b/rosechute/coordination/heartbeats.py
@@ -71,7 +71,7 @@
             committed=memory.committed.sequence,
             joined=context.joined == context.adopted and context.joined > 0,
             active=self._chain.active,
-            disk_healthy=context.disk.healthy(),
+            healthy=context.healthy,
             reached=context.detector.reached(context.now),
             lease_free=self._grantor.free(),
             term=max(memory.term.number, self._holder.term if leads else 0),
--- a/rosechute/coordination/lease.py
+++ b/rosechute/coordination/lease.py
@@ -68,6 +68,7 @@
         """The holder or a candidate gives its grant back."""
         if self.holder == Term(release.term, sender.id, boot):
             self.until = min(self.until, self.context.now)
+            self.context.announce = True
 
     def _may_grant(self, sender: Identity, request: pb.LeaseRequest, asked: Term) -> bool:
         context, memory = self.context, self.context.memory
@@ -141,7 +142,7 @@
     def tick(self) -> None:
         """Renew, or become a candidate."""
         context = self.context
-        eligible = context.in_chain and context.disk.healthy()
+        eligible = context.in_chain and context.healthy
         if not eligible:
             self.give_up()
         elif self.standing is Standing.LEADER:
--- a/rosechute/coordination/membership.py
+++ b/rosechute/coordination/membership.py
@@ -126,7 +126,7 @@
     def _consider(self) -> None:
         """Propose the next view: as the leader when one is needed, as any acceptor when an epoch stays sealed."""
         context = self._context
-        if self.proposer.phase is not Phase.IDLE or not context.is_acceptor or not context.disk.healthy():
+        if self.proposer.phase is not Phase.IDLE or not context.is_acceptor or not context.healthy:
             return
         if self._holder.holds(context.now):
             if context.memory.sealed or needed_view(context.memory.view, self._situation()) is not None:
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -136,8 +136,10 @@
         return self._leave()
 
     def resign(self, now: float) -> list[Action]:
-        """Give the leader lease back, so that another machine may have it at once: this process is about to end."""
+        """This process is about to end: give the leader lease back, and let the others go on without this machine."""
         self._enter(now)
+        self._context.leaving = True
+        self._context.announce = True
         self._holder.give_up()
         return self._leave()
 
--- a/tests/fleet/test_coordination_schedules.py
+++ b/tests/fleet/test_coordination_schedules.py
@@ -673,6 +673,23 @@
         leader = cluster.role("leader")
         self.assertEqual(cluster.replica(leader)._holder.granting(), 3)
 
+    def test_planned_end_of_a_process(self) -> None:
+        for size, role in itertools.product((3, 4), ("head", "middle", "tail", "leader")):
+            with self.subTest(size=size, role=role):
+                cluster = Cluster(size)
+                machine = cluster.role(role)
+                machine.run(lambda replica, machine=machine: replica.resign(machine.now()))
+                gone = cluster.replica(machine).identity.id
+                self.assertTrue(
+                    cluster.run_until(lambda cluster=cluster, gone=gone: gone not in cluster.newest_view().chain, 0.6)
+                )
+                machine.kill()
+                self.assertLessEqual(cluster.operate(), 1.0)
+                self.assertIsNotNone(cluster.leader())
+                machine.start()
+                cluster.run(BACK_IN_CHAIN_WITHIN_S)
+                self.assertEqual(len(cluster.newest_view().chain), size)
+
     def test_candidates_at_once(self) -> None:
         for size, seed in itertools.product((3, 4, 8), range(3)):
             cluster = Cluster(size, seed)
