--- a/rosechute/coordination/chain.py
+++ b/rosechute/coordination/chain.py
@@ -26,10 +26,12 @@
 )
 from rosechute.messages import coordination_pb2 as pb
 
+SILENT_HEARTBEATS = 3  # nobody is sent to a machine of which so many are missing
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, eq=False)
 class PendingOrder:
-    """An order that waits at the head, with all requests that sent it."""
+    """An order that waits, with all requests that sent it."""
 
     order: Order
     requests: list[tuple[int, float]] = field(default_factory=list)  # with the time when each came
@@ -55,6 +57,7 @@
         self._flight: _Flight | None = None
         self._queue: deque[PendingOrder] = deque()
         self._refusals: list[PendingOrder] = []
+        self._reads: deque[tuple[int, float]] = deque()  # with the time when each came
         self._number = 0  # of the record with the newest write
         self.active = False  # this is the head, and all members have adopted the epoch
 
@@ -67,18 +70,13 @@
         if taken is not None:
             context.outbox.answer(order.request, Acknowledged(taken))
             return
-        if not self._is_head():
-            context.outbox.answer(order.request, self._redirect(context.memory.view.head()))
-            return
-        if self._cut_off():
-            context.outbox.answer(order.request, Unsure())
-            return
         for pending in self._under_way():
             if pending.order.digest == order.digest:
                 pending.requests.append((order.request, context.now))
+                self._advance()
                 return
         self._queue.append(PendingOrder(order, [(order.request, context.now)]))
-        self._next()
+        self._advance()
 
     def activate(self) -> None:
         """All members of the chain have adopted the epoch; orders may be taken."""
@@ -100,12 +98,61 @@
         reached = sum(context.detector.reaches(context.now, each.id) for each in acceptors)
         return reached < context.memory.view.majority
 
-    def _redirect(self, target: Identity | None) -> Outcome:
+    def _elsewhere(self, target: Identity | None) -> Elsewhere | None:
+        """Another machine to go to, if it is there: whoever is sent to a silent one loses time."""
         context = self._context
-        if target is None or target.id == context.own.id or not context.detector.reaches(context.now, target.id):
-            return Unsure()
+        if target is None or target.id == context.own.id:
+            return None
+        detector, heartbeat = context.detector, context.timing.heartbeat
+        silent = detector.silent_for(context.now, target.id)
+        if silent > context.timing.lease:
+            there = detector.reached_by_another(context.now, target.id)  # its path to this machine alone is cut
+        else:
+            there = silent <= SILENT_HEARTBEATS * heartbeat and detector.reaches(context.now, target.id)
+        if not there:
+            return None
         return Elsewhere(target.control_address)
 
+    def _advance(self) -> None:
+        """Deal with what waits: here, at another machine, or not at all."""
+        waiting = self._under_way()
+        if not waiting and not self._reads:
+            return
+        self._settle_taken()
+        if self._cut_off():
+            for pending in waiting:
+                self._answer(pending, Unsure())
+            self._queue.clear()
+            self._settle_reads(Unsure())
+            return
+        view = self._context.memory.view
+        if self._is_head():
+            self._next()
+        elif self._queue and (elsewhere := self._elsewhere(view.head())) is not None:
+            self._settle_orders(elsewhere)
+        if not self._reads:
+            return
+        if view.chain and view.chain[-1] == self._context.own.id:
+            self._next_reads()
+        elif (elsewhere := self._elsewhere(view.tail())) is not None:
+            self._settle_reads(elsewhere)
+
+    def _settle_taken(self) -> None:
+        """Orders that came into force at another head."""
+        for pending in list(self._queue):
+            taken = self._context.memory.committed.version_taken(pending.order.digest)
+            if taken is not None:
+                self._queue.remove(pending)
+                self._answer(pending, Acknowledged(taken))
+
+    def _settle_orders(self, outcome: Outcome) -> None:
+        while self._queue:
+            self._answer(self._queue.popleft(), outcome)
+
+    def _settle_reads(self, outcome: Outcome) -> None:
+        while self._reads:
+            self._context.outbox.answer(self._reads.popleft()[0], outcome)
+
     def _under_way(self) -> list[PendingOrder]:
         flight = [self._flight.pending] if self._flight is not None else []
         return [*flight, *self._queue, *self._refusals]
@@ -121,7 +168,7 @@
                 self._answer(pending, Acknowledged(taken))
             elif pending.order.base_version != current.version or pending.order.version <= current.version:
                 self._refusals.append(pending)
-                self._confirmer.ask(partial(self._refuse, pending))
+                self._confirmer.ask(partial(self._refuse, pending), context.now)
             else:
                 self._start(pending)
 
@@ -138,7 +185,7 @@
         self._refusals.remove(pending)
         if certain:
             self._answer(pending, Stale(self._context.memory.committed.version))
-        elif pending.requests:
+        else:
             self._again(pending)
 
     def _again(self, pending: PendingOrder) -> None:
@@ -147,10 +194,8 @@
         taken = context.memory.committed.version_taken(pending.order.digest)
         if taken is not None:
             self._answer(pending, Acknowledged(taken))
-        elif self._is_head():
+        elif pending.requests:
             self._queue.append(pending)
-        else:
-            self._answer(pending, self._redirect(context.memory.view.head()))
 
     def _answer(self, pending: PendingOrder, outcome: Outcome) -> None:
         for request, _ in pending.requests:
@@ -224,28 +269,26 @@
 
     def read(self, request: int) -> None:
         """An operator reads the newest configuration."""
-        context = self._context
-        view = context.memory.view
-        if not view.chain or view.chain[-1] != context.own.id:
-            context.outbox.answer(request, self._redirect(view.tail()))
-        elif not context.settled or self._cut_off():
-            context.outbox.answer(request, Unsure())
-        else:
-            self._confirmer.ask(partial(self._read, request))
+        self._reads.append((request, self._context.now))
+        self._advance()
+
+    def _next_reads(self) -> None:
+        """At the tail: what it has stored is the newest, if its epoch is."""
+        while self._context.settled and self._reads:
+            request, since = self._reads.popleft()
+            self._confirmer.ask(partial(self._read, request, since), since)
 
-    def _read(self, request: int, certain: bool) -> None:
+    def _read(self, request: int, since: float, certain: bool) -> None:
         context = self._context
-        outcome: Outcome = Unsure()
         configuration = context.memory.committed.committed()
-        if certain and configuration is not None:
-            outcome = Configuration(
-                configuration.sequence, configuration.version, configuration.body, configuration.digest
-            )
-        elif certain:
-            outcome = NoConfiguration()
-        elif not context.in_chain or context.memory.view.chain[-1] != context.own.id:
-            outcome = self._redirect(context.memory.view.tail())
-        context.outbox.answer(request, outcome)
+        if not certain:
+            self._reads.append((request, since))  # another view, or too late
+        elif configuration is None:
+            context.outbox.answer(request, NoConfiguration())
+        else:
+            found = configuration
+            outcome = Configuration(found.sequence, found.version, found.body, found.digest)
+            context.outbox.answer(request, outcome)
 
     # Time and views
 
@@ -255,6 +298,9 @@
         for pending in self._under_way():
             self._answer_late(pending)
         self._queue = deque(pending for pending in self._queue if pending.requests)
+        while self._reads and now - self._reads[0][1] >= context.timing.order_deadline:
+            context.outbox.answer(self._reads.popleft()[0], Unsure())
+        self._advance()
         flight = self._flight
         if flight is not None and now - flight.sent >= flight.wait:
             flight.sent, flight.wait = now, 2 * flight.wait
--- a/rosechute/coordination/confirm.py
+++ b/rosechute/coordination/confirm.py
@@ -30,11 +30,12 @@
         self._questions: dict[int, _Question] = {}
         self._round = 0
 
-    def ask(self, done: Callable[[bool], None]) -> None:
-        """Ask about the current epoch; `done` is told once whether a majority confirmed it in time."""
+    def ask(self, done: Callable[[bool], None], since: float) -> None:
+        """Ask about the current epoch; `done` is told once whether a majority confirmed it in time, counted from
+        `since`."""
         context = self._context
         self._round += 1
-        question = _Question(context.memory.view.epoch, context.now, context.now, done)
+        question = _Question(context.memory.view.epoch, since, context.now, done)
         self._questions[self._round] = question
         self._send(self._round, question)
 
--- a/rosechute/coordination/context.py
+++ b/rosechute/coordination/context.py
@@ -25,7 +25,6 @@
     disk: Disk
     outbox: Outbox
     detector: Detector
-    newcomer: bool = False  # started with the system, and not an acceptor so far
     leaving: bool = False  # the process is about to end
     joined: int = 0  # epoch that this process adopted itself, synced
     adopted: int = 0  # newest epoch whose adoption is synced
--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -103,6 +103,12 @@
         """The machines from which answers come."""
         return [machine_id for machine_id in self.peers if self.reaches(now, machine_id)]
 
+    def reached_by_another(self, now: float, machine_id: str) -> bool:
+        """Whether a machine that this one reaches gets answers from that one."""
+        return any(
+            machine_id in peer.beat.reached for peer in self.peers.values() if self.reaches(now, peer.identity.id)
+        )
+
     def healthy(self, machine_id: str) -> bool:
         """Whether another machine is reached, its disk works and it is not about to end."""
         peer = self.peers.get(machine_id)
--- a/rosechute/coordination/heartbeats.py
+++ b/rosechute/coordination/heartbeats.py
@@ -76,5 +76,5 @@
             lease_free=self._grantor.free(),
             term=max(memory.term.number, self._holder.term if leads else 0),
             leads=leads,
-            bootstrap=context.newcomer,
+            newcomer=memory.newcomer,
         )
--- a/rosechute/coordination/membership.py
+++ b/rosechute/coordination/membership.py
@@ -53,7 +53,6 @@
         context.disk.write(pb.Record(adopt=record), partial(self._adopted, view.epoch))
         if view.epoch != before.epoch + 1 or not before.accepts(context.own.id):
             self._grantor.abstain()
-        context.newcomer = context.newcomer and not context.is_acceptor
         self._committed()
         self.proposer.stop()
         self._chain.view_changed()
@@ -161,7 +160,7 @@
             if stays or detector.settled(now, machine_id):
                 usable.add(machine_id)
                 if not view.accepts(machine_id):
-                    joiners.append(Joiner(peer.identity, peer.beat.bootstrap))
+                    joiners.append(Joiner(peer.identity, peer.beat.newcomer))
             if peer.healthy and peer.beat.epoch == view.epoch and not peer.beat.joined:
                 restarted.add(machine_id)
         if context.joined != view.epoch and context.adopted == view.epoch:
--- a/rosechute/coordination/memory.py
+++ b/rosechute/coordination/memory.py
@@ -33,6 +33,7 @@
     """The durable knowledge of a machine. `written` is a chain write that isn't known to stay yet."""
 
     machine: Identity | None = None
+    newcomer: bool = False  # started with the system, and not an acceptor so far
     view: View = View()
     committed: State = State()
     written: State | None = None
@@ -77,6 +78,7 @@
 
     def _apply_machine(self, record: pb.MachineRecord) -> None:
         self.machine = identity_of(record.machine)
+        self.newcomer = record.newcomer
 
     def _apply_promise(self, epoch: int, ballot: Ballot) -> None:
         if epoch == self.view.epoch and (self.promised is None or ballot > self.promised):
@@ -106,6 +108,7 @@
             return
         self.view, self.committed, self.written = view, state, None
         self.promised, self.accepted = None, None
+        self.newcomer = self.newcomer and not (self.machine is not None and view.accepts(self.machine.id))
         self._apply_term(view.term)
 
     def _apply_write(self, record: pb.ChainWrite) -> None:
@@ -131,7 +134,7 @@
         """One record that replaces all earlier ones."""
         whole = pb.WholeRecord(view=self.view.message(), committed=self.committed.message(), term=self.term.message())
         if self.machine is not None:
-            whole.machine.CopyFrom(pb.MachineRecord(machine=machine_of(self.machine)))
+            whole.machine.CopyFrom(pb.MachineRecord(machine=machine_of(self.machine), newcomer=self.newcomer))
         if self.written is not None:
             whole.written.CopyFrom(write_message(self.written))
         if self.promised is not None:
--- a/rosechute/coordination/planning.py
+++ b/rosechute/coordination/planning.py
@@ -15,7 +15,7 @@
     """A machine that is not an acceptor and asks to be one."""
 
     identity: Identity
-    bootstrap: bool
+    newcomer: bool  # it started with the system: the view grows for it
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,13 +92,13 @@
             replaced = tuple(identity if each.id == old.id else each for each in view.acceptors)
             return replace(view, acceptors=replaced)
     longest = max(view.acceptors, key=lambda each: situation.silent_for(each.id))
-    if not joiner.bootstrap and situation.silent_for(longest.id) >= situation.silent_removed:
+    if not joiner.newcomer and situation.silent_for(longest.id) >= situation.silent_removed:
         replaced = tuple(identity if each.id == longest.id else each for each in view.acceptors)
         return replace(view, acceptors=replaced)
-    grown = replace(view, acceptors=(*view.acceptors, identity), size=view.size + joiner.bootstrap)
+    grown = replace(view, acceptors=(*view.acceptors, identity), size=view.size + joiner.newcomer)
     if situation.granting < grown.majority:
         return None  # a new acceptor grants nothing at first: the leader would lose its lease
-    return grown if joiner.bootstrap or len(view.acceptors) <= view.size else None
+    return grown if joiner.newcomer or len(view.acceptors) <= view.size else None
 
 
 def _with_chain(view: View, situation: Situation) -> View | None:
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -44,7 +44,6 @@
             disk=Disk(config.timing, memory, replace_next=self._empty),
             outbox=Outbox(own, boot),
             detector=Detector(own, boot, config.timing, now),
-            newcomer=config.bootstrap,
         )
         self._context = context
         self._started = False
@@ -75,7 +74,7 @@
         self._enter(now)
         context = self._context
         if self._empty:
-            machine = pb.MachineRecord(machine=machine_of(context.own))
+            machine = pb.MachineRecord(machine=machine_of(context.own), newcomer=self.config.bootstrap)
             context.disk.write(pb.Record(machine=machine), self._begin)
             if self.config.bootstrap and self.config.seeds:
                 self._membership.adopt(first_view(self.config.seeds), State(epoch=1))
--- a/tests/fleet/test_coordination_planted.py
+++ b/tests/fleet/test_coordination_planted.py
@@ -98,12 +98,12 @@
         self.objects_to("read", wiped_machine_returns_first, change)
 
     def test_reads_of_a_deposed_tail(self) -> None:
-        self.plant(confirm.Confirmer, "ask", lambda self, done: done(True))
+        self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
         self.plant(chain.Chain, "_cut_off", lambda self: False)
         self.objects_to("read", deposed_tail_reads)
 
     def test_refusals_of_a_deposed_head(self) -> None:
-        self.plant(confirm.Confirmer, "ask", lambda self, done: done(True))
+        self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
         self.plant(chain.Chain, "_cut_off", lambda self: False)
         self.objects_to("refused", deposed_head_refuses)
 
