--- a/rosechute/control/quota.py
+++ b/rosechute/control/quota.py
@@ -19,6 +19,8 @@
 
 LIFETIME_S = 1.0
 ALLOWANCE_SHARE = 0.6  # of what the rules allow beyond rate x window + burst
+LARGEST_SHARE = 0.9  # of the same, where a part is used for a larger bucket
+DELAY_S = 2.5  # of the rate: requests may wait for so long between their tokens and their server
 SHORTEST_LIFETIME_S = 0.2
 OUTSTANDING_LIFETIMES = 1.25  # of the rate: room for tokens that are issued and not spent
 SMALLEST_CAPACITY_S = 0.5  # of the rate: a bucket without a burst has to hold something
@@ -176,14 +178,16 @@
 
     def _resize(self, bucket: _Bucket, limit: TenantLimit | None) -> None:
         assert limit is not None
-        bounds = self._bounds
-        beyond = bounds.overshoot * (limit.rate_per_s * bounds.window_s + limit.burst)
-        beyond = ALLOWANCE_SHARE * (beyond + (bounds.slack if limit.slack_counts else 0.0))
-        total = limit.burst + beyond  # capacity and outstanding tokens together never exceed this
-        capacity = max(limit.burst, SMALLEST_CAPACITY_S * limit.rate_per_s)
-        needed = OUTSTANDING_LIFETIMES * LIFETIME_S * limit.rate_per_s
-        bucket.rate = limit.rate_per_s
-        bucket.most_outstanding = max(min(needed, total / 2.0), min(total - capacity, max(needed, beyond)))
+        bounds, rate = self._bounds, limit.rate_per_s
+        allowance = bounds.overshoot * (rate * bounds.window_s + limit.burst)
+        allowance += bounds.slack if limit.slack_counts else 0.0
+        needed = OUTSTANDING_LIFETIMES * LIFETIME_S * rate
+        beyond = ALLOWANCE_SHARE * allowance
+        extra = min(limit.burst, max(0.0, LARGEST_SHARE * allowance - DELAY_S * rate - needed))
+        total = limit.burst + beyond + extra  # capacity and outstanding tokens together never exceed this
+        capacity = max(limit.burst + extra, SMALLEST_CAPACITY_S * rate)
+        bucket.rate = rate
+        bucket.most_outstanding = max(min(needed, total / 2.0), min(total - capacity, max(needed, beyond - extra)))
         bucket.capacity = min(capacity, total - bucket.most_outstanding)
         bucket.lifetime_s = _lifetime_s(bucket.most_outstanding, limit.rate_per_s)
         bucket.level = min(bucket.level, bucket.capacity)
