Send nothing again that a newer configuration says may run once; more forced orders

Need: a route that turns non-idempotent between two attempts must stop the second one. Change: each request keeps whether every configuration since its admission lets it be repeated, and asks before each send. Tests of that, of clients that leave with much sent or half a body, of slow readers and of connections that come up at the end of the process.

--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -65,6 +65,7 @@
     head: bytes  # of the request as every server gets it, without its end
     last_event_id: bytes | None
     sequence: int  # of the configuration by which it was admitted last
+    repeatable: bool  # whether it may run more than once, by every configuration since its admission
 
 
 class InForce:
@@ -133,7 +134,8 @@
         return Admitted(
             request_id, route, service, tenant, key, host, path, arrived, client_limit, hold_limit, silence_s,
             _cost(tenant, told.get(TOKEN_COUNT), input_tokens + output_tokens), priority, routing,
-            _head(message, tenant, priority * PRIORITIES // len(self._ranks)), told.get(LAST_EVENT_ID), self.sequence,
+            _head(message, tenant, priority * PRIORITIES // len(self._ranks)), told.get(LAST_EVENT_ID),
+            self.sequence, route.repeatable,
         )
 
 
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -184,6 +184,7 @@
             if allowed[1] != admitted.tenant and _name(allowed[1]) != _name(admitted.tenant):
                 return Refusal(503, UNREADY_RETRY_S)  # the key is another tenant's by now
             admitted.sequence = in_force.sequence
+            admitted.repeatable = admitted.repeatable and allowed[0].repeatable
         if in_force.needs_key(admitted.route) and not self._lease_holds():
             return Refusal(503, LEASE_RETRY_S)
         return None
--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -175,6 +175,10 @@
             self._withdraw()
             self._refuse(refusal)
             return None
+        if self._ran and not admitted.repeatable:  # a configuration since its first attempt says so
+            self._withdraw()
+            self._refuse(Refusal(503))
+            return None
         if not server.ready:
             self._leave(server)
             return None
@@ -392,7 +396,7 @@
         stream = self.message.stream
         if stream is not None and stream.begun:
             return False  # what has gone of its body is no longer here
-        return self.admitted.routing.repeatable or not (ending.may_have_run or self._ran)
+        return self.admitted.repeatable or not (ending.may_have_run or self._ran)
 
     def _spoilt(self, error: BrokenStream) -> None:
         """What the server sends can't be passed on."""
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -271,6 +271,72 @@
         self.play(scene)
 
 
+class Configurations(SiteCase):
+    def test_a_request_that_may_not_be_repeated_any_more_is_not_sent_again(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=plain)
+
+            async def changes(talk: Talk, call: Call) -> None:
+                site.plane.apply_configuration(configuration(2, routes=[
+                    route("again"), route("resume", route_type="streaming", gap_aim_ms=500),
+                ]), site.plane._in_force.sequence + 1)  # type: ignore[union-attr]
+                if "/resume" in call.target:
+                    talk.begin()
+                    talk.event(1)
+                    await talk.writer.drain()
+                talk.reset()
+
+            for path in ("/again/1", "/resume/1"):
+                await site.serve("svc", s1=changes, s2=changes)
+                site.plane.apply_configuration(configuration(3), site.plane._in_force.sequence + 1)  # type: ignore[union-attr]
+                before = len(site.calls)
+                if path == "/again/1":
+                    self.assertEqual((await site.ask(path)).status, 502)
+                else:
+                    self.assertFalse((await site.ask(path)).whole)
+                self.assertEqual(len(site.calls), 1, before)
+                site.servers.clear()
+            site.close()
+        self.play(scene)
+
+
+class ClientsThatLeave(SiteCase):
+    def test_much_is_sent_at_once_and_the_client_closes(self) -> None:
+        async def scene() -> None:
+            async def slow(talk: Talk, call: Call) -> None:
+                await asyncio.sleep(0.2)
+                talk.answer()
+
+            for leave in ("close", "reset"):
+                site = await Site().start(s1=slow)
+                client = await site.client()
+                for _ in range(40):  # more than is read ahead: the client is not read from
+                    client.send()
+                await asyncio.sleep(0.1)
+                getattr(client, leave)()
+                await asyncio.sleep(1.0)
+                self.assertLessEqual(len(site.calls), 2)
+                self.assertFalse(site.plane.front.requests)
+                site.close()
+        self.play(scene)
+
+    def test_a_client_that_leaves_while_its_body_goes_out(self) -> None:
+        async def scene() -> None:
+            site = await Site(memory_mb=66).start(s1=plain)
+            client = await site.client()
+            client.writer.write(
+                b"POST /plain/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" + b"x" * 150000
+            )
+            await asyncio.sleep(0.1)
+            client.reset()
+            await asyncio.sleep(0.1)
+            self.assertFalse(site.plane.front.requests or site.calls)
+            self.assertEqual((site.plane.budget.used, site.plane.servers.find("s1").links), (0, 0))  # type: ignore[union-attr]
+            site.close()
+        self.play(scene)
+
+
 class NotReadYet(SiteCase):
     def test_a_timer_that_comes_before_what_has_come_is_read_ends_no_stream(self) -> None:
         async def scene() -> None:
--- a/tests/fleet/test_data_shutdown.py
+++ b/tests/fleet/test_data_shutdown.py
@@ -189,6 +189,50 @@
             site.close()
         self.play(scene)
 
+    def test_an_answer_half_written_to_a_slow_reader_goes_on(self) -> None:
+        async def scene() -> None:
+            async def large(talk: Talk, call: Call) -> None:
+                talk.answer(200, bytes(6_000_000))
+
+            site = await Site().start(s1=large)
+            client = await site.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(deadline=20000)
+            await asyncio.sleep(0.1)
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(4.0)
+            self.assertFalse(ending.done())
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            answer = await client.answer()
+            self.assertEqual((answer.whole, len(answer.body)), (True, 6_000_000))
+            self.assertLess(await ending, 5.0)
+            site.close()
+        self.play(scene)
+
+    def test_a_connection_to_a_server_comes_up_after_the_last_one_was_taken(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=until_closed)
+            hangs = asyncio.ensure_future(site.ask(deadline=20000))  # holds the end up
+            go = asyncio.Event()
+            connect = site.loop.create_connection
+
+            async def slow(*arguments: object, **more: object) -> object:
+                await go.wait()
+                return await connect(*arguments, **more)  # type: ignore[call-overload]
+
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(3.2)
+            client = await site.client()
+            site.loop.create_connection = slow  # type: ignore[method-assign, assignment]
+            client.send()
+            await asyncio.sleep(0.15)
+            go.set()
+            self.assertEqual((await client.answer()).status, 503)
+            await ending
+            self.assertEqual(((await hangs).status, len(site.calls)), (504, 1))
+            site.close()
+        self.play(scene)
+
     def test_a_term_before_anything_is_known_ends_too(self) -> None:
         async def scene() -> None:
             site = Site()
