--- a/rosechute/coordination/membership.py
+++ b/rosechute/coordination/membership.py
@@ -53,7 +53,6 @@
         context.disk.write(pb.Record(adopt=record), partial(self._adopted, view.epoch))
         if view.epoch != before.epoch + 1 or not before.accepts(context.own.id):
             self._grantor.abstain()
-        context.newcomer = context.newcomer and not context.is_acceptor
         self._committed()
         self.proposer.stop()
         self._chain.view_changed()
@@ -126,7 +125,7 @@
     def _consider(self) -> None:
         """Propose the next view: as the leader when one is needed, as any acceptor when an epoch stays sealed."""
         context = self._context
-        if self.proposer.phase is not Phase.IDLE or not context.is_acceptor or not context.disk.healthy():
+        if self.proposer.phase is not Phase.IDLE or not context.is_acceptor or not context.healthy:
             return
         if self._holder.holds(context.now):
             if context.memory.sealed or needed_view(context.memory.view, self._situation()) is not None:
@@ -161,7 +160,7 @@
             if stays or detector.settled(now, machine_id):
                 usable.add(machine_id)
                 if not view.accepts(machine_id):
-                    joiners.append(Joiner(peer.identity, peer.beat.bootstrap))
+                    joiners.append(Joiner(peer.identity, peer.beat.newcomer))
             if peer.healthy and peer.beat.epoch == view.epoch and not peer.beat.joined:
                 restarted.add(machine_id)
         if context.joined != view.epoch and context.adopted == view.epoch:
