--- a/rosechute/coordination/views.py
+++ b/rosechute/coordination/views.py
@@ -144,8 +144,9 @@
 
 
 def first_view(seeds: Sequence[tuple[str, str]]) -> View:
-    """The view that every machine knows at the first start: the seeds accept and store."""
-    acceptors = tuple(Identity(bootstrap_id(control), "", "", control, peer) for control, peer in seeds)
+    """The view that all know at the first start: the seeds, whatever their order, accept and store."""
+    ordered = sorted(set(seeds))
+    acceptors = tuple(Identity(bootstrap_id(control), "", "", control, peer) for control, peer in ordered)
     return View(1, acceptors, tuple(each.id for each in acceptors), len(acceptors), (1, 0))
 
 
--- a/tests/fleet/simulation/faults.py
+++ b/tests/fleet/simulation/faults.py
@@ -18,8 +18,12 @@
 class Troubles:
     """Plays troubles on a world."""
 
-    def __init__(self, world: World, tolerance: int, only: Collection[str] = ()) -> None:
+    def __init__(
+        self, world: World, tolerance: int, only: Collection[str] = (), acknowledged: Callable[[], int] = lambda: 0
+    ) -> None:
         self.world = world
+        self.acknowledged = acknowledged  # how many orders, so far
+        self.delay = world.network.delay
         self.tolerance = tolerance
         self.random = Random(world.random.random())
         self.done: list[str] = []
@@ -41,7 +45,9 @@
             (self.slow_disk, 2),
             (self.wipe, 3),
             (self.wipe_and_power_loss, 2),
+            (self.wipe_after_acknowledgement, 3),
             (self.replace, 3),
+            (self.replace_frozen, 1),
             (self.restart_in_turn, 1),
         ]
         if only:
@@ -63,7 +69,7 @@
         """End every trouble that is under way."""
         self.world.network.heal()
         self.world.network.loss = 0.0
-        self.world.network.delay = (0.0005, 0.004)
+        self.world.network.delay = self.delay
         for machine in self._there():
             self._disk_well(machine)
             machine.thaw()
@@ -186,7 +192,7 @@
         network.loss = self.random.choice((0.0, 0.1, 0.4))
         network.delay = (0.001, self.random.choice((0.02, 0.2, 0.6)))
         self._wait(3.0)
-        network.loss, network.delay = 0.0, (0.0005, 0.004)
+        network.loss, network.delay = 0.0, self.delay
 
     # Disks
 
@@ -222,13 +228,27 @@
     def wipe_and_power_loss(self) -> None:
         """The same, while every other machine loses power."""
         self._calm()
-        wiped = self.random.sample(self._there(), self.tolerance)
-        for machine in self._there():
+        self._final_fault()
+
+    def wipe_after_acknowledgement(self) -> None:
+        """The same, as soon as an order has been acknowledged; the others go on, are killed or lose power."""
+        self._calm()
+        before = self.acknowledged()
+        if not self.world.run_while(lambda: self.acknowledged() == before, 3.0):
+            return
+        self._final_fault()
+
+    def _final_fault(self) -> None:
+        there = self._there()
+        wiped = self.random.sample(there, self.tolerance)
+        others = self.random.choice((Machine.power_loss, Machine.power_loss, Machine.kill, None))
+        spread = self.random.choice((0.2, 1.0, 3.0))
+        for machine in there:
             if machine in wiped:
                 machine.wipe()
-            else:
-                machine.power_loss()
-            self.world.after(self.random.uniform(0.05, 3.0), self._start, machine)
+            elif others is not None:
+                others(machine)
+            self.world.after(self.random.uniform(0.05, spread), self._start, machine)
         self.world.run_for(3.0)
         self._calm()
 
@@ -241,10 +261,27 @@
         self.world.run_for(self.random.uniform(0.0, 2.0))
         self.next_address += 1
         name = old.name if self.random.random() < 0.5 else f"core-{self.next_address}"
+        self._add(name)
+        self._calm()
+
+    def replace_frozen(self) -> None:
+        """The machine that is replaced was frozen only: it wakes and finds its place taken."""
+        self._calm()
+        old = self._pick()
+        old.freeze()
+        self.world.run_for(self.random.uniform(0.0, 2.0))
+        self.next_address += 1
+        self._add(old.name)
+        self._calm()
+        self.world.run_for(self.random.choice((0.0, 2.0)))
+        old.kill()
+        old.removed = True
+        self._calm()
+
+    def _add(self, name: str) -> None:
         new = self.world.add_machine(name, f"10.9.{self.next_address}.1")
         there = [each for each in self._there() if each is not new]
         seeds = self.random.sample(there, min(3, len(there)))
         self.world.seed_list = [(each.control, each.peer) for each in seeds]
         new.start()
         self.world.run_for(self.random.uniform(0.0, 3.0))
-        self._calm()
--- a/tests/fleet/simulation/play.py
+++ b/tests/fleet/simulation/play.py
@@ -15,6 +15,7 @@
 
 SIZES = (3, 3, 3, 4, 4, 5, 5, 8)
 FORMED_S = 1.8
+FAR_S = (0.02, 0.06)  # delay between machines in other regions
 ACKNOWLEDGED_WITHIN_S = 4.0  # after the last trouble has ended
 
 
@@ -51,6 +52,8 @@
     history = History(world, judged)
     if change is not None:
         change(world)
+    if random.random() < 0.1:
+        world.network.delay = FAR_S
     operators = [Operator(world, f"operator-{number}") for number in range(random.choice((1, 2, 2, 8)))]
     for operator in operators:
         operator.lose_answers = random.choice((0.0, 0.0, 0.3))
@@ -58,7 +61,7 @@
     world.bootstrap()
     early = size < 8 and random.random() < 0.1
     world.run_until(0.31 if early else FORMED_S + (4.0 if size == 8 else 0.5))
-    played = Troubles(world, (size - 1) // 2, only)
+    played = Troubles(world, (size - 1) // 2, only, lambda: history.acknowledgements)
     played.play(troubles if troubles is not None else random.randint(2, 6))
     recovery = finish(world, history, operators)
     return Result(
--- a/tests/fleet/test_coordination_calm.py
+++ b/tests/fleet/test_coordination_calm.py
@@ -43,3 +43,37 @@
         world.run_for(0.2)
         self.assertEqual(sum(isinstance(each, Configuration) and each.version == 4 for each in reads), 1)
         self.assertEqual(sum(isinstance(each, Elsewhere) for each in reads), size - 1)
+
+    def test_seeds_in_any_order(self) -> None:
+        world = World(1, 4)
+        world.seeds = lambda: world.random.sample(world.seed_list, 3)  # type: ignore[method-assign]
+        world.bootstrap()
+        world.run_until(3.0)
+        views = {each.replica.view for each in world.machines if each.replica}
+        self.assertEqual(len(views), 1)
+        self.assertEqual(len(views.pop().chain), 4)
+
+    def test_one_machine_starts_late(self) -> None:
+        for size in (3, 4, 5):
+            for late in range(size):
+                with self.subTest(size=size, late=late):
+                    world = World(late, size)
+                    for machine in world.machines:
+                        wait = 8.0 if machine is world.machines[late] else world.random.uniform(0.0, 0.3)
+                        world.after(wait, machine.start, True)
+                    world.run_until(3.5)
+                    outcomes: list[Outcome] = []
+                    order = make_order(world, 0, 1)
+                    there = [each for each in world.machines if each.up]
+                    views = [each.replica.view for each in there if each.replica]
+                    head = max(views, key=lambda view: view.epoch).head()
+                    assert head is not None
+                    target = world.by_control(head.control_address)
+                    assert target is not None
+                    world.submit(target, order, lambda machine, outcome, into=outcomes: into.append(outcome))
+                    world.run_for(0.3)
+                    self.assertEqual(outcomes, [Acknowledged(1)])
+                    world.run_until(11.0)
+                    self.assertEqual(
+                        {len(each.replica.view.chain) for each in world.machines if each.replica}, {size}
+                    )
