Plant faults in the distribution and show that each checker finds its own

Need: a checker that was never seen to fail proves little. The one for the number of edges did not: a machine that stayed away kept it from looking.

Change: ten planted faults (confirmations too late, older values taken, changes against something else, a dead home waited for, leases that never end and others); the number of edges is looked at with machines away; a storm of events in one second is found.

--- a/tests/fleet/distribution_world.py
+++ b/tests/fleet/distribution_world.py
@@ -37,6 +37,7 @@
 CONNECT_TIMEOUT_S = 0.5
 BACKOFF_S = 0.1
 FRAME_BYTES = 5
+EVENTS_LIMIT = 20_000  # in one second
 SERVICES = ("model", "listing")
 
 
@@ -121,6 +122,7 @@
         self._accepted: dict[int, Channel] = {}
         self._blocked: set[tuple[str, str]] = set()
         self._backoff: dict[tuple[Process, str], float] = {}
+        self._events_in_second = 0
         self.bytes_between_zones = 0
         self.sent_bytes: dict[str, int] = {}
         self.core = [self._machine(f"core-{i}", i % self.zones, f"10.1.0.{i}:7500") for i in range(self.core_size)]
@@ -149,11 +151,21 @@
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
-            self.now, _, call = heapq.heappop(self._events)
+            when, _, call = heapq.heappop(self._events)
+            self._count_event(when)
+            self.now = when
             call()
             self.check()
         self.now = end
 
+    def _count_event(self, when: float) -> None:
+        """Nobody keeps others, or itself, busy without end."""
+        if int(when) != int(self.now):
+            self._events_in_second = 0
+        self._events_in_second += 1
+        if self._events_in_second > EVENTS_LIMIT:
+            raise RuleBroken(f"a storm of events at {when}")
+
     def _every(self, interval: float, call: Callable[[], None]) -> None:
         def again() -> None:
             call()
@@ -522,7 +534,7 @@
     def _check_total(self, process: Process) -> None:
         if self.now - self.members_changed < TOTAL_APPLY_S or any(machine.frozen for machine in self.edge):
             return
-        if any(machine.troubled_until + TOTAL_APPLY_S > self.now for machine in self.edge):
+        if any(one.process is not None and one.troubled_until + TOTAL_APPLY_S > self.now for one in self.edge):
             return
         living = sum(machine.running for machine in self.edge)
         if process.total != living:
--- /dev/null
+++ b/tests/fleet/test_distribution_planted.py
@@ -0,0 +1,154 @@
+"""Faults planted in the distribution: for each checker of the simulated deployments, one that it must find."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from rosechute.distribution import catch_up, confirmation, home_links, membership, publisher, store, values
+from rosechute.distribution.store import Taken
+from tests.fleet.distribution_world import RuleBroken, World
+from tests.fleet.test_distribution_clusters import calm, home_of, random_day
+
+SEEDS = range(100, 112)
+
+
+class PlantedTest(unittest.TestCase):
+    def found(self, play: Callable[[], object], what: str) -> None:
+        with self.assertRaisesRegex(RuleBroken, what):
+            play()
+
+    def found_on_some_day(self, what: str) -> None:
+        found = []
+        for seed in SEEDS:
+            try:
+                random_day(seed)
+            except RuleBroken as broken:
+                found.append(str(broken))
+                if what in found[-1]:
+                    return
+        self.fail(f"no day shows {what!r}; shown: {found}")
+
+    def test_confirmed_as_of_when_the_answer_came(self) -> None:
+        def told(self: confirmation.Confirmation, sent_at: float, sequence: int, age_s: float) -> None:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+
+        with mock.patch.object(confirmation.Confirmation, "told", told):
+            self.found_on_some_day("confirmed after a newer acknowledgement")
+
+    def test_confirmed_whatever_is_held(self) -> None:
+        def told(self: confirmation.Confirmation, sent_at: float, sequence: int, age_s: float) -> None:
+            self.confirmed_at = max(self.confirmed_at, sent_at - age_s)
+
+        with mock.patch.object(confirmation.Confirmation, "told", told):
+            self.found_on_some_day("confirmed after a newer acknowledgement")
+
+    def test_an_older_configuration_is_taken(self) -> None:
+        def take_configuration(self: store.TopicStore, update: object) -> Taken:
+            decoded = values.decode_configuration(update)  # type: ignore[arg-type]
+            assert decoded is not None
+            self._values[decoded.topic] = decoded
+            return Taken.NEWER
+
+        with mock.patch.object(store.TopicStore, "take_configuration", take_configuration):
+            self.found_on_some_day("configuration back")
+
+    def test_an_older_list_is_taken(self) -> None:
+        original = store.TopicStore.take_list
+
+        def take_list(self: store.TopicStore, update: object, now: float) -> Taken:
+            self._values.pop(f"list/{update.position.service}", None)  # type: ignore[attr-defined]
+            return original(self, update, now)  # type: ignore[arg-type]
+
+        with mock.patch.object(store.TopicStore, "take_list", take_list):
+            self.found_on_some_day("list of")
+
+    def test_changes_are_taken_whatever_they_are_against(self) -> None:
+        """Lists lose servers that a missed change had brought."""
+        original = store.TopicStore.take_list
+
+        def take_list(self: store.TopicStore, update: object, now: float) -> Taken:
+            old = self.service_list(update.position.service)  # type: ignore[attr-defined]
+            if old is not None and not update.whole:  # type: ignore[attr-defined]
+                update.base_revision = old.position[1]  # type: ignore[attr-defined]
+            return original(self, update, now)  # type: ignore[arg-type]
+
+        def play() -> None:
+            world = calm(World(seed=1, edges=9, loss=0.1))
+            for _ in range(60):
+                world.change_list()
+                world.run(0.5)
+
+        play()
+        with mock.patch.object(store.TopicStore, "take_list", take_list):
+            self.found(play, "holds")
+
+    def test_a_dead_home_is_waited_for(self) -> None:
+        """Nobody fetches and nobody leaves a failing home."""
+
+        def play() -> None:
+            world = calm(World(seed=10, edges=9))
+            world.kill(home_of(world, "config", 0))
+            world.commit()
+            world.run(8.0)
+
+        def wait_for_ever(self: home_links.HomeLinks, now: float, follow: home_links._Follow) -> None:
+            follow.due = math.inf
+
+        play()
+        with (
+            mock.patch.object(catch_up.CatchUp, "told", lambda self, *told: None),
+            mock.patch.object(home_links.HomeLinks, "_to_direct", wait_for_ever),
+        ):
+            self.found(play, "in force")
+
+    def test_renewals_stop(self) -> None:
+        def play() -> None:
+            calm(World(seed=1))
+
+        with mock.patch("rosechute.distribution.leader_search.RENEW_INTERVAL_S", 5.0):
+            self.found(play, "confirmed long ago|in force")
+
+    def test_the_list_is_pushed_only_once(self) -> None:
+        original = publisher.Publisher._take_reading
+
+        def take_reading(self: publisher.Publisher, now: float, service: str, servers: list[object]) -> list[object]:
+            if self._store.service_list(service) is not None:
+                return []
+            return original(self, now, service, servers)  # type: ignore[arg-type,return-value]
+
+        def play() -> None:
+            world = calm(World(seed=1))
+            world.change_list()
+            world.run(3.0)
+
+        play()
+        with mock.patch.object(publisher.Publisher, "_take_reading", take_reading):
+            self.found(play, "is behind")
+
+    def test_leases_never_end(self) -> None:
+        def play() -> None:
+            world = calm(World(seed=1))
+            world.kill(world.edge[0])
+            world.run(10.0)
+
+        play()
+        with mock.patch.object(membership.Membership, "expire", lambda self, now: []):
+            self.found(play, "edges told")
+
+    def test_a_body_is_mixed_up(self) -> None:
+        original = values.decode_configuration
+
+        def decode(update: object) -> object:
+            found = original(update)  # type: ignore[arg-type]
+            assert found is not None
+            return type(found)(found.sequence, found.version + 1, found.body, found.compressed)
+
+        with mock.patch.object(store, "decode_configuration", decode):
+            self.found(lambda: calm(World(seed=1)), "differs from what was committed")
+
+
+if __name__ == "__main__":
+    unittest.main()
