Quotas: refuse sooner where the leader is gone or silent, and say when it will be back

Cause: without a leader every request of a limited tenant waited 0.1 s, with a silent one 0.25 s, and was told to come back after 0.5 s, which is still without a leader: a client that repeats once was refused twice.

Change: 0.04 s without a leader, 0.12 s with a silent one; Retry-After is what is left of the two seconds in which a new leader is there. A bucket that fills is waited for up to 0.25 s as before.

--- a/rosechute/distribution/leader_search.py
+++ b/rosechute/distribution/leader_search.py
@@ -32,6 +32,7 @@
 
     def __init__(self, now: float, seeds: Iterable[str]) -> None:
         self.state = SearchState.SEARCHING
+        self.searching_since = now
         self.leader: str | None = None  # the last known one, also while searching
         self.term = 0
         self._seeds = list(dict.fromkeys(seeds))
@@ -133,6 +134,7 @@
 
     def _to_searching(self, now: float) -> None:
         self.state = SearchState.SEARCHING
+        self.searching_since = now
         self._next_at = now
 
     def _silent_at(self) -> float:
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -76,6 +76,10 @@
         """Whether the leader answers."""
         return self._search.state is SearchState.ATTACHED
 
+    def leaderless_since(self) -> float | None:
+        """Since when no leader is known; None while one is."""
+        return None if self.attached else self._search.searching_since
+
     @property
     def edges_total(self) -> int:
         """Living edges; 0 until it is known."""
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -32,7 +32,7 @@
         address = settings.edge_link_address
         edge = EdgeIdentity(settings.node_name, settings.zone, address)
         self.subscriber = Subscriber(loop.time(), edge, boot, settings.seed_peers)
-        self.quota = QuotaClient(loop, settings.node_name, self.send_to_leader, lambda: self.subscriber.attached)
+        self.quota = QuotaClient(loop, settings.node_name, self.send_to_leader, self.subscriber.leaderless_since)
         self._pool = LinkPool(self._received_dialed, self._dialed_closed)
         self._server = LinkServer(address, self._received, self._accepted_closed)
         self._timer: asyncio.TimerHandle | None = None
@@ -61,13 +61,11 @@
         self.subscriber.leave(self._loop.time())
         self._tick()
 
-    def send_to_leader(self, message: pb.Distribution) -> bool:
-        """Send a message to the leader; False where none is known."""
+    def send_to_leader(self, message: pb.Distribution) -> None:
+        """Send a message to the leader, if one is known."""
         leader = self.subscriber.leader
-        if leader is None:
-            return False
-        self._pool.send(leader, Kind.DISTRIBUTION, message.SerializeToString())
-        return True
+        if leader is not None:
+            self._pool.send(leader, Kind.DISTRIBUTION, message.SerializeToString())
 
     def _received(self, connection: LinkConnection, kind: Kind, data: bytes) -> None:
         if kind is Kind.DISTRIBUTION:
--- a/rosechute/processes/quota_client.py
+++ b/rosechute/processes/quota_client.py
@@ -14,17 +14,17 @@
 class QuotaClient:
     """`rosechute.data.ports.QuotaTokens`, over the link to the leader.
 
-    `send` passes a message to the leader and tells whether one is known.
+    `send` passes a message to the leader; `leaderless_since` tells since when none is known, or None.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, name: str, send: Callable[[pb.Distribution], bool],
-        leader_known: Callable[[], bool],
+        self, loop: asyncio.AbstractEventLoop, name: str, send: Callable[[pb.Distribution], None],
+        leaderless_since: Callable[[], float | None],
     ) -> None:
         self._loop = loop
         self._name = name
         self._send = send
-        self._leader_known = leader_known
+        self._leaderless_since = leaderless_since
         self._wallet = QuotaWallet()
         self._requests = itertools.count(1)
         self._timer: asyncio.TimerHandle | None = None
@@ -68,11 +68,12 @@
             self._timer.cancel()
             self._timer = None
         now = self._loop.time()
-        known = self._leader_known()
-        _tell(self._wallet.tick(now, known))
-        if known:
+        since = self._leaderless_since()
+        leaderless_s = now - since if since is not None else None
+        _tell(self._wallet.tick(now, leaderless_s))
+        if since is None:
             self._ask(now)
-        due = self._wallet.next_due(now, known)
+        due = self._wallet.next_due(leaderless_s)
         if due < math.inf:
             self._wake_at(max(due, now + 0.001))
 
--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -12,10 +12,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-WAIT_S = 0.25  # a request waits no longer for tokens
-WAIT_LEADERLESS_S = 0.1  # where no leader is known
-ANSWER_S = 0.15  # an ask without an answer for so long is lost
-RETRY_LEADERLESS_S = 0.5  # when to come back where the leader did not answer
+WAIT_S = 0.25  # a request waits no longer for tokens of a bucket that fills
+WAIT_SILENT_S = 0.12  # where the leader does not answer
+WAIT_LEADERLESS_S = 0.04  # where no leader is known
+ANSWER_S = 0.08  # an ask without an answer for so long is lost
+LEADERLESS_S = 2.0  # a new leader is there after so long
+RETRY_LEAST_S = 0.3  # when to come back where the leader does not answer, at the earliest
 AHEAD_S = 0.2  # of the present demand is asked for ahead
 AHEAD_REQUESTS = 3.0  # but only where that is several requests: tokens that are not spent are lost to the tenant
 DEMAND_SPAN_S = 1.0  # over which the demand is measured
@@ -66,6 +68,7 @@
     waiting: deque[_Waiting] = field(default_factory=deque)
     asked_at: float = -math.inf  # of the ask that is under way
     least: int = 0  # of the ask that is under way, or was refused last
+    heard_at: float = -math.inf  # the leader answered
     dry_until: float = -math.inf  # the leader said to ask again then
     demand: float = 0.0  # tokens a second
     request_mean: float = 0.0
@@ -101,6 +104,13 @@
         ahead = demand * AHEAD_S
         return int(ahead) if ahead >= AHEAD_REQUESTS * self.request_mean else 0
 
+    def gives_up_at(self, leaderless_s: float | None) -> float:
+        """When the first request that waits is refused."""
+        since = self.waiting[0].since
+        if leaderless_s is not None:
+            return since + WAIT_LEADERLESS_S
+        return since + (WAIT_S if self.heard_at >= since else WAIT_SILENT_S)
+
     def asking(self, now: float) -> bool:
         """Whether an ask is under way."""
         return now < self.asked_at + ANSWER_S
@@ -158,13 +168,14 @@
                 decisions += self._issued(now, sent_at, state, issue)
         return decisions
 
-    def tick(self, now: float, leader_known: bool) -> list[Decision]:
-        """Refuse what has waited for too long."""
-        limit = WAIT_S if leader_known else WAIT_LEADERLESS_S
+    def tick(self, now: float, leaderless_s: float | None) -> list[Decision]:
+        """Refuse what has waited for too long; `leaderless_s` tells for how long there has been no leader."""
         decisions: list[Decision] = []
         for state in self._tenants.values():
-            while state.waiting and now >= state.waiting[0].since + limit:
-                retry_s = state.dry_until - now if state.dry_until > now else RETRY_LEADERLESS_S
+            while state.waiting and now >= state.gives_up_at(leaderless_s):
+                retry_s = state.dry_until - now
+                if retry_s <= 0.0 or leaderless_s is not None:
+                    retry_s = max(RETRY_LEAST_S, LEADERLESS_S - (leaderless_s or 0.0))
                 decisions.append(Decision(state.waiting.popleft().decided, False, retry_s))
         for number in [number for number, sent in self._asks.items() if now - sent > 2.0]:
             del self._asks[number]
@@ -174,14 +185,14 @@
         """Whether any request waits."""
         return any(state.waiting for state in self._tenants.values())
 
-    def next_due(self, now: float, leader_known: bool) -> float:
+    def next_due(self, leaderless_s: float | None) -> float:
         """When `tick` or `ask` has something to do; infinity where nobody waits."""
-        limit = WAIT_S if leader_known else WAIT_LEADERLESS_S
         due = math.inf
         for state in self._tenants.values():
             if state.waiting:
-                ask_at = max(state.asked_at + ANSWER_S, state.dry_until)
-                due = min(due, state.waiting[0].since + limit, ask_at if leader_known else math.inf)
+                due = min(due, state.gives_up_at(leaderless_s))
+                if leaderless_s is None:
+                    due = min(due, max(state.asked_at + ANSWER_S, state.dry_until))
         return due
 
     def held(self, now: float, tenant: str) -> int:
@@ -194,6 +205,7 @@
 
     def _issued(self, now: float, sent_at: float, state: _Tenant, issue: Issue) -> list[Decision]:
         state.asked_at = -math.inf
+        state.heard_at = now
         void_at = sent_at + issue.lifetime_s
         if issue.tokens and void_at > now:
             state.held.append((void_at, issue.tokens))
--- a/tests/fleet/test_distribution_wallet.py
+++ b/tests/fleet/test_distribution_wallet.py
@@ -86,17 +86,29 @@
     def test_silence_is_asked_again_and_then_refused(self) -> None:
         self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
         self.wallet.ask(0.0, 1)
-        self.assertEqual(len(self.wallet.ask(0.151, 2)), 1)
-        self.told.tell(self.wallet.tick(0.249, True))
+        self.assertEqual(len(self.wallet.ask(0.081, 2)), 1)
+        self.told.tell(self.wallet.tick(0.119, None))
         self.assertEqual(self.told.decisions, [])
-        self.told.tell(self.wallet.tick(0.25, True))
-        self.assertEqual(self.told.decisions, [("a", False, 0.5)])
+        self.told.tell(self.wallet.tick(0.12, None))
+        self.assertEqual(self.told.decisions, [("a", False, 2.0)])
+
+    def test_a_bucket_that_fills_is_waited_for_longer_than_silence(self) -> None:
+        self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
+        self.wallet.ask(0.0, 1)
+        self.told.tell(self.wallet.issued(0.01, 1, [Issue("t", 0, 1.0, 0.2)]))
+        self.told.tell(self.wallet.tick(0.2, None))
+        self.assertEqual(self.told.decisions, [])
+        self.wallet.ask(0.211, 2)
+        self.told.tell(self.wallet.issued(0.22, 2, [Issue("t", 50, 1.0, 0.0)]))
+        self.assertEqual(self.told.decisions, [("a", True, 0.0)])
 
     def test_without_a_leader_it_is_refused_sooner(self) -> None:
         self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
-        self.assertEqual(self.wallet.next_due(0.0, False), 0.1)
-        self.told.tell(self.wallet.tick(0.1, False))
-        self.assertEqual(self.told.decisions, [("a", False, 0.5)])
+        self.assertEqual(self.wallet.next_due(0.5), 0.04)
+        self.told.tell(self.wallet.tick(0.04, 0.5))
+        self.wallet.spend(5.0, "t", 50, self.told.as_("b"))
+        self.told.tell(self.wallet.tick(5.04, 5.0))
+        self.assertEqual(self.told.decisions, [("a", False, 1.5), ("b", False, 0.3)])
 
     def test_a_dense_demand_is_asked_for_ahead(self) -> None:
         for number in range(200):
@@ -179,13 +191,13 @@
         at(now + draw.expovariate(1.0) * 6 * 967 / (3 * RATE), lambda later: arrive(later, wallet))
 
     def serve(now: float, wallet: QuotaWallet) -> None:
-        tell(wallet.tick(now, True))
+        tell(wallet.tick(now, None))
         request = next(numbers)
         asks = wallet.ask(now, request)
         if asks and draw.random() > 0.02:
             name = str(wallets.index(wallet))
             at(now + draw.uniform(0.001, 0.03), lambda later: answer(later, wallet, name, request, asks))
-        due = wallet.next_due(now, True)
+        due = wallet.next_due(None)
         if due < math.inf:
             at(max(due, now + 0.002), lambda later: serve(later, wallet))
 
