Refuse nothing for good by a configuration that may be old; say when this edge will know more

Cause: after all machines had lost power, edges that came back took an older configuration first and answered 401 to keys added since; others told clients to come back in 0.3 to 0.5 s, twice, while the core needed 1.5 s. Change: 401 and 404 are answered only by a configuration whose lease holds, else 503; Retry-After until 2 s after the start where nothing was confirmed yet, 1 s where the lease has ended, spread by 0.15; a service whose list has not come is refused before its quota is spent.

--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -28,8 +28,10 @@
 LINKS_RESERVED = 128  # descriptors for the links between processes
 LEAST_SOCKETS = 64  # descriptors that clients and servers get in any case
 LEASE_MARGIN_S = 0.3  # a request is sent no later than so long before the lease on the configuration ends
-LEASE_RETRY_S = 0.5  # when to come back where the lease has ended
-UNREADY_RETRY_S = 0.3  # when to come back where there is no configuration yet
+LEASE_RETRY_S = 1.0  # when to come back where the lease has ended
+STARTS_WITHIN_S = 2.0  # after a start of everything at once, configuration and lists are here within so long
+UNREADY_RETRY_S = 0.35  # when to come back at the earliest where they are not
+RETRY_SPREAD = 0.15  # part of such a time by which clients are spread
 
 
 class DataPlane:
@@ -50,6 +52,7 @@
         self._dispatcher = Dispatcher(loop, router, self.servers)
         self._in_force: InForce | None = None
         self._edges = 1
+        self._started = loop.time()
         self._lists: dict[str, Sequence[ServerEntry]] = {}
         self._dispatcher.apply_retry_budget(settings.bounds, self._edges)
         self._shutdown: Shutdown | None = None
@@ -59,6 +62,7 @@
 
     async def start(self) -> None:
         """Listen for clients."""
+        self._started = self.loop.time()
         self.port = self.front.listen(self._settings.listen.front)
 
     def ready(self) -> bool:
@@ -139,14 +143,29 @@
         """Read a request by the configuration in force."""
         in_force = self._in_force
         if in_force is None:
-            return Refusal(503, UNREADY_RETRY_S)
+            return self._not_ready()
         admitted = in_force.admit(message, ticket, self.loop.time(), self._draw)
         if isinstance(admitted, Refusal):
-            return admitted
+            # By a configuration that may be out of date nobody is told for good that there is no route or key.
+            return admitted if admitted.status == 400 or self._up_to_date() else self._not_ready()
         if in_force.needs_key(admitted.route) and not self._lease_holds():
-            return Refusal(503, LEASE_RETRY_S)
+            return self._not_ready()
+        if admitted.service not in self._lists:
+            return self._not_ready()
         return admitted
 
+    def _not_ready(self) -> Refusal:
+        """Come back when this edge is likely to know what it needs."""
+        if self._freshness.confirmed_at() == -math.inf:
+            retry_s = max(UNREADY_RETRY_S, self._started + STARTS_WITHIN_S - self.loop.time())
+        else:
+            retry_s = LEASE_RETRY_S if not self._up_to_date() else UNREADY_RETRY_S
+        return Refusal(503, retry_s * (1.0 + RETRY_SPREAD * self._draw()))
+
+    def _up_to_date(self) -> bool:
+        """Whether the configuration in force is the newest one, as far as its lease says."""
+        return self._freshness.confirmed_at() > -math.inf and self._lease_holds()
+
     def _take(self, message: Message, admitted: Admitted) -> ClientRequest:
         return ClientRequest(self, message, admitted)
 
@@ -193,7 +212,7 @@
             admitted.sequence = in_force.sequence
             admitted.repeatable = admitted.repeatable and allowed[0].repeatable
         if in_force.needs_key(admitted.route) and not self._lease_holds():
-            return Refusal(503, LEASE_RETRY_S)
+            return self._not_ready()
         return None
 
     def over(self, request: ClientRequest) -> None:
--- a/tests/fleet/test_data_plain.py
+++ b/tests/fleet/test_data_plain.py
@@ -92,12 +92,43 @@
             site = Site()
             await site.plane.start()
             self.assertFalse(site.plane.ready())
+            site.fresh.at = float("-inf")
             answer = await site.ask()
             self.assertEqual(answer.status, 503)
+            self.assertTrue(2.0 <= float(answer.headers["retry-after"]) < 2.4)
+            await asyncio.sleep(1.5)
+            answer = await site.ask()  # nearer to when it is likely to know what it needs
+            self.assertEqual(answer.status, 503)
+            self.assertTrue(0.5 <= float(answer.headers["retry-after"]) < 0.6)
+            site.close()
+        self.play(scene)
+
+    def test_before_the_list_of_its_service_it_is_a_promise_and_costs_no_quota(self) -> None:
+        async def scene() -> None:
+            site = Site()
+            await site.plane.start()
+            site.plane.apply_configuration(configuration(), 1)
+            answer = await site.ask(key="m1")
+            self.assertEqual((answer.status, site.quota.spent), (503, []))
             self.assertGreater(float(answer.headers["retry-after"]), 0.0)
             site.close()
         self.play(scene)
 
+    def test_by_a_configuration_that_may_be_old_nobody_is_told_for_good_that_there_is_no_route_or_key(self) -> None:
+        """Found: an edge that had come back with an older configuration answered 401 to keys added since."""
+        async def scene() -> None:
+            site = await Site().start()
+            for at in (float("-inf"), site.loop.time() - 4.8):
+                site.fresh.at = at
+                for options in ({"key": "added"}, {"path": "/added/1"}, {"key": None}):
+                    answer = await site.ask(**options)
+                    self.assertEqual((answer.status, "retry-after" in answer.headers), (503, True), options)
+                self.assertEqual((await site.ask("/open/1")).status, 200)
+            site.fresh.at = None
+            self.assertEqual((await site.ask(key="added")).status, 401)
+            site.close()
+        self.play(scene)
+
     def test_ready_with_a_configuration_a_list_and_freshness(self) -> None:
         async def scene() -> None:
             site = await Site().start()
