Edges are told unasked when the leader lease is gained or lost

Need: an edge learned of a lease that was given up at its next renewal (0.4 s at most), and of a new leader at its next round of questions (0.2 s); meanwhile requests of limited tenants are refused.

Change: a machine that loses the lease tells its edges, one that gains it tells those that asked it within a second; they ask at once. Nothing is confirmed and nobody attached by such a message. The checker of confirmations' age is apart from that of what is in force, so that the planted dead home shows the latter by itself.

--- a/rosechute/distribution/fan_out.py
+++ b/rosechute/distribution/fan_out.py
@@ -72,6 +72,10 @@
                 self._keep_missed(now, name, target)
                 target.connection = None
 
+    def connections(self) -> list[Connection]:
+        """The connections on which targets are reached."""
+        return [target.connection for target in self._targets.values() if target.connection is not None]
+
     def expire(self, now: float) -> None:
         """End subscriptions that were not renewed, forget old hints and silent targets."""
         for topic, names in list(self._subscribed.items()):
--- a/rosechute/distribution/leader_search.py
+++ b/rosechute/distribution/leader_search.py
@@ -114,6 +114,12 @@
             if now - self._asked.get(named, -1e9) >= PROBE_INTERVAL_S:
                 self._next_at = now
 
+    def leads_now(self, now: float, address: str, term: int) -> None:
+        """A core machine tells unasked that it leads from now on: it is asked at once."""
+        if self.state is SearchState.SEARCHING and term >= self.term:
+            self._named = address
+            self._next_at = now
+
     def closed(self, now: float, address: str) -> None:
         """The link to this address has ended or could not be opened."""
         for number in [number for number, (_, to) in self._unanswered.items() if to == address]:
--- a/rosechute/distribution/publisher.py
+++ b/rosechute/distribution/publisher.py
@@ -33,6 +33,7 @@
 from rosechute.messages import distribution_pb2 as pb
 
 FETCH_AGAIN_S = 2.0
+ASKED_S = 1.0  # an edge that asked so lately still searches, and is told of the leader at once
 
 QuotaHandler = Callable[[float, pb.QuotaRequest], "pb.QuotaIssue | None"]
 
@@ -69,6 +70,7 @@
         self._fresh_at = -math.inf
         self._core: tuple[pb.CoreMachine, ...] = ()
         self._core_digest = 0
+        self._asked: dict[Connection, float] = {}  # while this is not the leader: who asked for it, and when
         self._fetched: dict[tuple[Connection, str], tuple[Position, float]] = {}
 
     @property
@@ -89,14 +91,19 @@
         self._membership = Membership(now)
         self._fan_out.clear()
         self._list_known = False
-        return []
+        searching = [connection for connection, at in self._asked.items() if now - at < ASKED_S]
+        self._asked.clear()
+        return self._tell(searching, pb.Renewed(is_leader=True, members_term=term))
 
     def lease_lost(self, now: float) -> list[Send]:
         """This machine does not hold the leader lease any more."""
+        if self._state is PublisherState.FOLLOWER:
+            return []
         self._state = PublisherState.FOLLOWER
+        followers = self._fan_out.connections()
         self._fan_out.clear()
         self._leader_address = None
-        return []
+        return self._tell(followers, pb.Renewed())
 
     def redirect(self, address: str | None) -> None:
         """The address of the leader's link, where it is another machine and known."""
@@ -152,6 +159,7 @@
     def connection_closed(self, now: float, connection: Connection) -> None:
         """A connection of an edge has ended."""
         self._fan_out.connection_closed(now, connection)
+        self._asked.pop(connection, None)
         for key in [key for key in self._fetched if key[0] == connection]:
             del self._fetched[key]
 
@@ -166,6 +174,7 @@
 
     def _renew(self, now: float, connection: Connection, renew: pb.Renew) -> list[Send]:
         if self._state is not PublisherState.LEADER:
+            self._asked[connection] = now
             return [Send(connection, pb.Distribution(renewed=self._answer(now, renew)))]
         edge = EdgeIdentity(renew.edge.name, renew.edge.zone, renew.edge.address)
         self._membership.renew(now, edge, renew.boot, renew.leaving)
@@ -173,6 +182,10 @@
         sends = self._fan_out.spoke(now, edge.name, connection, told_positions(renew))
         return [Send(connection, pb.Distribution(renewed=self._leader_answer(now, renew))), *sends]
 
+    def _tell(self, connections: Iterable[Connection], answer: pb.Renewed) -> list[Send]:
+        """Tell edges unasked whether this machine leads; they ask again at once."""
+        return [Send(connection, pb.Distribution(renewed=answer)) for connection in connections]
+
     def _answer(self, now: float, renew: pb.Renew) -> pb.Renewed:
         """What every core machine can tell: the freshness of the configuration, the core, who leads."""
         answer = pb.Renewed(request=renew.request, leader=self._leader_address or "", core_digest=self._core_digest)
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -200,6 +200,8 @@
         if not answer.is_leader:
             self._search.not_leader(now, connection.address, answer.leader)
         if sent_at is None:
+            if answer.is_leader and not answer.request:
+                self._search.leads_now(now, connection.address, answer.members_term)
             return []
         if answer.config_known:
             self._confirmation.told(sent_at, answer.config_sequence, answer.config_age_ms / 1000.0)
--- a/tests/fleet/distribution_world.py
+++ b/tests/fleet/distribution_world.py
@@ -29,6 +29,7 @@
 CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
 LIST_APPLY_S = 1.5
+FRESH_S = 1.5  # a confirmation is no older, in touch
 TOTAL_APPLY_S = CONTACT_S + LEASE_S
 FRESHNESS_INTERVAL_S = 0.15
 READ_INTERVAL_S = 0.5
@@ -503,6 +504,7 @@
             if self.in_touch(machine):
                 self.checks += 1
                 self._check_in_force(process)
+                self._check_fresh(process)
                 self._check_list(process)
                 self._check_total(process)
 
@@ -521,8 +523,10 @@
         due = max(sequence for _, acked, sequence in self.committed if acked <= self.now - CONFIG_APPLY_S)
         if process.configuration < due:
             raise RuleBroken(f"{process.machine.name}: {process.configuration} in force at {self.now}, due is {due}")
+
+    def _check_fresh(self, process: Process) -> None:
         assert process.subscriber is not None
-        if self.now - process.subscriber.confirmed_at > 1.5:
+        if self.now - process.subscriber.confirmed_at > FRESH_S:
             raise RuleBroken(f"{process.machine.name}: confirmed long ago, in touch")
 
     def _check_list(self, process: Process) -> None:
--- a/tests/fleet/test_distribution_orders.py
+++ b/tests/fleet/test_distribution_orders.py
@@ -299,6 +299,50 @@
         self.assertIn(OTHER, edge.renewals)
 
 
+class LeaseChangeTest(unittest.TestCase):
+    """Edges are told unasked when the lease is gained or lost."""
+
+    def setUp(self) -> None:
+        self.publisher = Publisher(lambda at, request: None)
+        renew = pb.Renew(request=3, edge=pb.Edge(name="e1", zone="z", address="a"), boot=1)
+        self.renew = pb.Distribution(renew=renew)
+
+    def test_who_searches_is_told_of_the_new_leader(self) -> None:
+        self.publisher.receive(0.0, "old", self.renew)
+        self.publisher.receive(5.0, "gone", self.renew)
+        self.publisher.connection_closed(5.1, "gone")
+        self.publisher.receive(5.2, "c", self.renew)
+        told = sent(self.publisher.lease_gained(5.5, 4), "renewed")
+        self.assertEqual([(where, message.renewed.members_term) for where, message in told], [("c", 4)])
+        edge = AtSubscriber()
+        edge.noted(edge.subscriber.receive(0.05, Dialed(THIRD), told[0][1]))
+        self.assertIn(THIRD, edge.renewals)
+        self.assertFalse(edge.subscriber.attached)
+        self.assertEqual(edge.subscriber.confirmed_at, -math.inf)
+
+    def test_who_is_attached_is_told_that_the_lease_is_lost(self) -> None:
+        self.publisher.lease_gained(0.0, 1)
+        self.publisher.receive(1.0, "c", self.renew)
+        told = sent(self.publisher.lease_lost(1.1), "renewed")
+        self.assertEqual([where for where, _ in told], ["c"])
+        self.assertEqual(self.publisher.lease_lost(1.2), [])
+        edge = AtSubscriber()
+        edge.renewed(0.01)
+        self.assertTrue(edge.subscriber.attached)
+        edge.noted(edge.subscriber.receive(0.2, Dialed(LEADER), told[0][1]))
+        self.assertFalse(edge.subscriber.attached)
+        self.assertIn(OTHER, edge.renewals)
+
+    def test_an_older_term_is_not_asked(self) -> None:
+        edge = AtSubscriber()
+        edge.renewed(0.01, members_term=6)
+        edge.noted(edge.subscriber.connection_closed(0.02, Dialed(LEADER)))
+        asked = len(edge.renewals.get(THIRD, []))
+        told = pb.Distribution(renewed=pb.Renewed(is_leader=True, members_term=5))
+        edge.noted(edge.subscriber.receive(0.03, Dialed(THIRD), told))
+        self.assertEqual(len(edge.renewals.get(THIRD, [])), asked)
+
+
 class BrokenTest(unittest.TestCase):
     def test_a_body_that_can_not_be_read_changes_nothing(self) -> None:
         edge = AtSubscriber()
--- a/tests/fleet/test_distribution_planted.py
+++ b/tests/fleet/test_distribution_planted.py
@@ -101,6 +101,7 @@
         with (
             mock.patch.object(catch_up.CatchUp, "told", lambda self, *told: None),
             mock.patch.object(home_links.HomeLinks, "_to_direct", wait_for_ever),
+            mock.patch.object(World, "_check_fresh", lambda self, process: None),  # it would be the first to find it
         ):
             self.found(play, "in force")
 
