Check settings for what a process serves, in one place

Need: check-settings took a file with which the program then would not start; each program had a check of its own.

Change: problem_for names the first field that a side lacks; check-settings and both programs use it.

--- a/rosechute/configuration/process.py
+++ b/rosechute/configuration/process.py
@@ -13,12 +13,19 @@
 
 SETTINGS_VARIABLE = "ROSECHUTE_NODE_FILE"
 """The environment variable with the path of the settings file."""
-ROLE_EDGE = "edge"
+SERVES_EDGE = "edge"
 """What a process serves that takes the requests of clients."""
-ROLE_CONTROL = "control_plane"
+SERVES_CONTROL = "control_plane"
 """What a process serves that takes the orders of the operator."""
 
 
+NEEDED = {
+    SERVES_EDGE: ("listen.front", "listen.readiness"),
+    SERVES_CONTROL: ("listen.control", "data_dir"),
+}
+"""Fields that a process needs for what it serves, beyond those that every process needs."""
+
+
 class ProcessLimits(msgspec.Struct, frozen=True, kw_only=True):
     """What the machine grants to the process."""
 
@@ -169,6 +176,17 @@
     return Success(settings)
 
 
+def problem_for(settings: ProcessSettings, side: str, source: str = "") -> SettingsProblem | None:
+    """The first field that is missing for serving this side, `edge` or `control_plane`."""
+    for place in NEEDED.get(side, ()):
+        value: Any = settings
+        for name in place.split("."):
+            value = getattr(value, name)
+        if not value:
+            return SettingsProblem("check", place, f"is needed to serve {side}", source)
+    return None
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of `host:port`; raises ValueError where it is not of that form."""
     host, colon, port = address.rpartition(":")
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -15,7 +15,14 @@
 from loguru import logger
 from returns.result import Failure
 
-from rosechute.configuration.process import SETTINGS_VARIABLE, ProcessSettings, load, load_from_environment
+from rosechute.configuration.process import (
+    SERVES_CONTROL,
+    SETTINGS_VARIABLE,
+    ProcessSettings,
+    load,
+    load_from_environment,
+    problem_for,
+)
 from rosechute.control.core_machine import CoreMachine
 from rosechute.processes import logs
 from rosechute.processes.state import ProcessState
@@ -80,8 +87,9 @@
         return EXIT_UNUSABLE
     settings = loaded.unwrap()
     logs.set_up(settings.log_level)
-    if not settings.data_dir or not settings.listen.control:
-        logger.critical("settings: a core machine needs `data_dir` and `listen.control`")
+    missing = problem_for(settings, SERVES_CONTROL, os.environ[SETTINGS_VARIABLE])
+    if missing is not None:
+        logger.critical("settings: {}", missing)
         return EXIT_UNUSABLE
     return _run(settings)
 
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -20,10 +20,12 @@
 
 from rosechute.configuration.operator import parse
 from rosechute.configuration.process import (
+    SERVES_EDGE,
     SETTINGS_VARIABLE,
     ProcessSettings,
     load,
     load_from_environment,
+    problem_for,
     split_address,
 )
 from rosechute.data.plane import DataPlane
@@ -159,8 +161,9 @@
         return 2
     settings = loaded.unwrap()
     logs.set_up(settings.log_level)
-    if not settings.listen.front or not settings.listen.readiness:
-        logger.error("settings: an edge machine needs `listen.front` and `listen.readiness`")
+    missing = problem_for(settings, SERVES_EDGE, os.environ[SETTINGS_VARIABLE])
+    if missing is not None:
+        logger.error("settings: {}", missing)
         return 2
     try:
         asyncio.run(_run(settings, os.environ[SETTINGS_VARIABLE]))
--- a/rosechute/processes/main.py
+++ b/rosechute/processes/main.py
@@ -68,6 +68,10 @@
         if isinstance(read, Failure):
             _fail(str(read.failure()))
         found = read.unwrap()
+        for side in found.serves:
+            missing = process.problem_for(found, side, str(file))
+            if missing is not None:
+                _fail(str(missing))
         print(f"{file}: usable; {found.node_name} in {found.zone} serves {', '.join(found.serves) or 'nothing'}")
 
     def state(self, address: str) -> None:
--- a/tests/fleet/test_configuration_process.py
+++ b/tests/fleet/test_configuration_process.py
@@ -87,6 +87,16 @@
         del value["node_name"]
         self.assertEqual(str(problem(value)), "node.json: decode: Object missing required field `node_name`")
 
+    def test_what_a_side_needs(self) -> None:
+        found = read(settings())
+        self.assertIsNone(process.problem_for(found, process.SERVES_EDGE))
+        missing = process.problem_for(found, process.SERVES_CONTROL, "node.json")
+        self.assertEqual(str(missing), "node.json: check: listen.control: is needed to serve control_plane")
+        without = read(settings() | {"listen": {"control": "127.0.3.1:1"}, "data_dir": "/data"})
+        self.assertIsNone(process.problem_for(without, process.SERVES_CONTROL))
+        wrong = process.problem_for(without, process.SERVES_EDGE)
+        self.assertEqual(wrong and wrong.place, "listen.front")
+
     def test_not_json(self) -> None:
         result = process.decode(b'{"ip": ', "node.json")
         self.assertEqual(result.failure().step, "decode")
--- a/tests/fleet/test_processes_command.py
+++ b/tests/fleet/test_processes_command.py
@@ -73,6 +73,12 @@
         self.assertIn("port_range", errors)
 
 
+    def test_settings_that_lack_what_their_side_needs(self) -> None:
+        code, _, errors = run("check-settings", self.file(encode(settings() | {"listen": {"front": "127.0.3.1:1"}})))
+        self.assertEqual(code, 1)
+        self.assertIn("listen.readiness: is needed to serve edge", errors)
+
+
 class Roles(WithFiles):
     """Which program runs, with which settings."""
 
