--- a/tests/fleet/test_deploy_files.py
+++ b/tests/fleet/test_deploy_files.py
@@ -38,6 +38,16 @@
         self.assertTrue((DEPLOY.parent / script).is_file())
 
 
+class Pins(unittest.TestCase):
+    """Libraries of the fleet."""
+
+    def test_the_package_names_the_versions_that_the_build_installs(self) -> None:
+        lines = (DEPLOY.parent / "requirements-fleet.txt").read_text(encoding="utf-8").splitlines()
+        project = read(DEPLOY.parent / "pyproject.toml")["project"]
+        named = project["dependencies"] + project["optional-dependencies"]["fleet"]
+        self.assertLessEqual(set(named), set(lines))
+
+
 class Sites(unittest.TestCase):
     """deploy/sites."""
 
