--- a/tests/fleet/simulated_core.py
+++ b/tests/fleet/simulated_core.py
@@ -126,6 +126,7 @@
         self._count = 0
         self.machines = [SimulatedMachine(self, number) for number in range(machines)]
         self.cut: set[str] = set()  # control addresses of machines that nothing reaches or leaves
+        self.answers_lost = 0.0  # chance that an answer to the operator is lost on its way
         for machine in self.machines:
             machine.start(bootstrap=True)
 
@@ -139,6 +140,11 @@
         if target is not None and not self.cut & {source.control, target.control}:
             self.after(LINK_S, target, target.receive, data)
 
+    def reset_links(self) -> None:
+        """All that is on its way between machines is lost."""
+        self._calls = [entry for entry in self._calls if entry[4] != entry[2].receive]
+        heapq.heapify(self._calls)
+
     async def run_for(self, seconds: float) -> None:
         end = self.now + seconds
         while self.now < end:
@@ -174,7 +180,7 @@
                 return None
             outcome = await self._answer(ask(machine.runtime))
             if not isinstance(outcome, Elsewhere):
-                return outcome
+                return None if self.draw.random() < self.answers_lost else outcome
             address = outcome.control_address
             machine = next((each for each in self.machines if each.control == address), None)
         return None
--- a/tests/fleet/test_control_runtime.py
+++ b/tests/fleet/test_control_runtime.py
@@ -127,6 +127,62 @@
                 self.assertEqual(read and read.version, version, seed)
                 await core.run_for(4.0)
 
+    async def test_lost_acknowledgements_never_turn_into_refusals(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            core.answers_lost = 0.6
+            for version in range(2, 12):
+                self.assertEqual(await core.order(version - 1, version, 20.0), Acknowledged(version), seed)
+
+    async def test_an_order_whose_answer_was_lost_is_acknowledged_after_later_ones(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            core.answers_lost = 1.0
+            self.assertIsNone(await core.order(1, 2, 1.0))
+            core.answers_lost = 0.0
+            self.assertEqual(await core.order(2, 3, ACK_S), Acknowledged(3))
+            for machine in core.machines:
+                machine.kill(power=True)
+                machine.start()
+            self.assertEqual(await core.order(1, 2, ACK_S + 2.0), Acknowledged(2), seed)
+            read = await core.read(ACK_S)
+            self.assertEqual(read and read.version, 3, seed)
+
+    async def test_resets_of_all_links(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            for version in range(2, 8):
+                ordered = asyncio.create_task(core.order(version - 1, version, ACK_S))
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                    core.reset_links()
+                self.assertEqual(await ordered, Acknowledged(version), seed)
+
+    async def test_eight_orders_at_once_under_trouble(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(4, seed)
+            for version in (1, 11, 21):
+                self.trouble(core, core.draw.choice(core.machines))
+                orders = [core.order(version, version + 3 + number, 1.5) for number in range(7)]
+                outcomes = await asyncio.gather(*orders, core.order(version, version + 10, 1.5))
+                self.heal(core)
+                taken = [each.version for each in outcomes if isinstance(each, Acknowledged)]
+                self.assertLessEqual(len(taken), 1, seed)
+                read = await core.read(8.0)
+                assert read is not None
+                self.assertTrue(not taken or read.version == taken[0], seed)
+                if read.version != version + 10:  # on to a base that is known
+                    self.assertEqual(await core.order(read.version, version + 10, 8.0), Acknowledged(version + 10))
+
+    async def test_a_disk_that_hangs_for_all_and_returns(self) -> None:
+        for seed in range(SEEDS):
+            core = await self.cluster(seed=seed)
+            for machine in core.machines:
+                machine.disk_hangs = True
+            self.assertIsNone(await core.order(1, 2, 3.0))
+            self.heal(core)
+            self.assertEqual(await core.order(1, 2, 6.0), Acknowledged(2), seed)
+
     async def test_the_log_stays_short_and_the_snapshot_is_whole(self) -> None:
         with mock.patch.object(replica_runtime, "LOG_LIMIT_BYTES", 2_000):
             core = await self.cluster()
