Links that come up late over crowded ones are used; a silent leader may still be asked

Cause: with links of 5 Mbit/s full of traffic a connection takes longer than half a second to come up, so no attempt ever ended well: an edge was without a leader for 8.8 s, with the leader alive.

Change: an attempt that takes longer than the time-out is told as failed, and goes on beside later ones for 3 s; the first that comes up is used. Unacknowledged bytes close a link after 2 s (1 s before). A leader that is only silent is asked for quota tokens for 0.7 s more. An edge logs when it finds or loses the leader.

Ruled out: the election (the leader was there after 2.2 s), the search (it asked every 0.1 s).

--- a/rosechute/distribution/leader_search.py
+++ b/rosechute/distribution/leader_search.py
@@ -14,6 +14,7 @@
 from rosechute.distribution.membership import RENEW_INTERVAL_S
 
 SILENCE_S = 0.5  # a renewal unanswered and nothing heard of the leader for so long: it is sought
+SILENT_GRACE_S = 0.7  # it may still answer over a crowded link: other messages to it go on for so long
 PROBE_INTERVAL_S = 0.1
 PROBES_AT_ONCE = 2
 ANSWER_LIMIT_S = 10.0  # answers to older renewals are not waited for
@@ -32,7 +33,7 @@
 
     def __init__(self, now: float, seeds: Iterable[str]) -> None:
         self.state = SearchState.SEARCHING
-        self.searching_since = now
+        self.leaderless_since = now  # where it is sought; later than now where it is only silent
         self.leader: str | None = None  # the last known one, also while searching
         self.term = 0
         self._seeds = list(dict.fromkeys(seeds))
@@ -71,7 +72,7 @@
     def due(self, now: float) -> list[tuple[str, int]]:
         """Renewals to be sent now: address and number."""
         if self.state is SearchState.ATTACHED and now >= self._silent_at():
-            self._to_searching(now)
+            self._to_searching(now, SILENT_GRACE_S)
         if now < self._next_at:
             return []
         self._drop_old(now)
@@ -138,9 +139,9 @@
         self.term = term
         self._named = None
 
-    def _to_searching(self, now: float) -> None:
+    def _to_searching(self, now: float, grace_s: float = 0.0) -> None:
         self.state = SearchState.SEARCHING
-        self.searching_since = now
+        self.leaderless_since = now + grace_s
         self._next_at = now
 
     def _silent_at(self) -> float:
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -60,6 +60,7 @@
         self._core_digest = 0
         self._leader_term = 0
         self._expire_at = now
+        self._now = now  # of the last call
 
     @property
     def confirmed_at(self) -> float:
@@ -77,8 +78,9 @@
         return self._search.state is SearchState.ATTACHED
 
     def leaderless_since(self) -> float | None:
-        """Since when no leader is known; None while one is."""
-        return None if self.attached else self._search.searching_since
+        """Since when there is no leader to be asked; None while there is one, or one that is only silent."""
+        since = self._search.leaderless_since
+        return None if self.attached or since > self._now else since
 
     @property
     def edges_total(self) -> int:
@@ -116,6 +118,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """What is due by the clock."""
+        self._now = now
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             self._fan_out.expire(now)
--- a/rosechute/messages/link.py
+++ b/rosechute/messages/link.py
@@ -18,10 +18,12 @@
 
 from rosechute.messages.framing import FrameError, FrameReader, Kind, encode_frame
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5  # after which messages that wait are dropped and their owner is told
+ATTEMPT_LIMIT_S = 3.0  # an attempt goes on for so long, beside later ones
+ATTEMPTS_AT_ONCE = 4
 BACKOFF_FIRST_S = 0.05
 BACKOFF_LIMIT_S = 0.5
-USER_TIMEOUT_MS = 1000  # unacknowledged bytes close a link after this
+USER_TIMEOUT_MS = 2000  # unacknowledged bytes close a link after this
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -203,15 +205,20 @@
 
 
 class _Link:
-    """The link to one address; connects when there is something to send."""
+    """The link to one address; connects when there is something to send.
+
+    An attempt that takes longer than the time-out counts as failed, but goes on beside later ones for a while: over a
+    crowded link it may take that long, and the first that comes up is used.
+    """
 
     def __init__(self, pool: LinkPool, address: str) -> None:
         self._pool = pool
         self.address = address
         self.state = LinkState.IDLE
         self._connection: LinkConnection | None = None
-        self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._attempts: set[asyncio.Task[None]] = set()
+        self._newest: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None  # of the time-out, or of the backoff
         self._backoff_s = BACKOFF_FIRST_S
         self._pending = _PendingFrames()
 
@@ -234,10 +241,14 @@
 
     def _to_connecting(self) -> None:
         self.state = LinkState.CONNECTING
-        self._timer = None
-        self._task = asyncio.get_running_loop().create_task(self._connect())
+        loop = asyncio.get_running_loop()
+        if len(self._attempts) < ATTEMPTS_AT_ONCE:
+            self._newest = loop.create_task(self._attempt())
+            self._attempts.add(self._newest)
+        self._timer = loop.call_later(CONNECT_TIMEOUT_S, self._timed_out)
 
     def _to_open(self, connection: LinkConnection) -> None:
+        self._cancel_waits()
         self.state = LinkState.OPEN
         self._connection = connection
         self._backoff_s = BACKOFF_FIRST_S
@@ -249,39 +260,57 @@
         self.state = LinkState.BACKOFF
         self._pending.clear()
         self._connection = None
+        if self._timer is not None:
+            self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(self._backoff_s, self._backoff_over)
         self._backoff_s = min(self._backoff_s * 2.0, BACKOFF_LIMIT_S)
         self._pool.link_closed(error)
 
+    def _to_idle(self) -> None:
+        self.state = LinkState.IDLE
+        self._timer = None
+
     def _backoff_over(self) -> None:
         if self._pending:
             self._to_connecting()
         else:
-            self.state = LinkState.IDLE
-            self._timer = None
+            self._to_idle()
 
-    async def _connect(self) -> None:
+    def _timed_out(self) -> None:
+        self._to_backoff(LinkError("connect", self.address, "timed out"))
+
+    async def _attempt(self) -> None:
+        task = asyncio.current_task()
+        try:
+            connection = await self._connect()
+        except (OSError, TimeoutError, ValueError) as error:
+            connection = None
+            reason = str(error) or type(error).__name__
+        else:
+            reason = "closed"
+        if task is not None:
+            self._attempts.discard(task)
+        if connection is not None and connection.open:
+            if self.state is LinkState.OPEN:
+                connection.close()
+            else:
+                self._to_open(connection)
+        elif self.state is LinkState.CONNECTING and task is self._newest:
+            self._to_backoff(LinkError("connect", self.address, reason))
+
+    async def _connect(self) -> LinkConnection:
         opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             opened.setblocking(False)
             _set_options(opened)
             loop = asyncio.get_running_loop()
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(ATTEMPT_LIMIT_S):
                 await loop.sock_connect(opened, split_address(self.address))
             _, connection = await loop.create_connection(self._protocol, sock=opened)
-        except asyncio.CancelledError:
+        except BaseException:
             opened.close()
             raise
-        except (OSError, TimeoutError, ValueError) as error:
-            opened.close()
-            self._task = None
-            self._to_backoff(LinkError("connect", self.address, str(error) or type(error).__name__))
-            return
-        self._task = None
-        if connection.open:
-            self._to_open(connection)
-        else:
-            self._to_backoff(LinkError("connect", self.address, "closed"))
+        return connection
 
     def _protocol(self) -> LinkConnection:
         return LinkConnection(self.address, self._pool.on_message, self._closed)
@@ -291,9 +320,11 @@
             self._to_backoff(LinkError("open", self.address, reason))
 
     def _cancel_waits(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+        current = asyncio.current_task() if self._attempts else None
+        for task in self._attempts:
+            if task is not current:
+                task.cancel()
+        self._attempts.clear()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -37,6 +37,7 @@
         self._server = LinkServer(address, self._received, self._accepted_closed)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
+        self._followed: str | None = None  # the leader, as last told to the log
         self._forget_at = loop.time() + FORGET_INTERVAL_S
 
     async def start(self) -> None:
@@ -107,8 +108,19 @@
                 self._send(action)
             else:
                 self._apply(action)
+        self._log_leader()
         self._wake_at(max(self.subscriber.next_wake(), self._loop.time() + LEAST_SLEEP_S))
 
+    def _log_leader(self) -> None:
+        followed = self.subscriber.leader if self.subscriber.attached else None
+        if followed == self._followed:
+            return
+        if followed is None:
+            logger.info("leader {} lost", self._followed)
+        else:
+            logger.info("leader {} followed", followed)
+        self._followed = followed
+
     def _send(self, action: Send) -> None:
         data = action.message.SerializeToString()
         connection = action.connection
--- a/tests/fleet/test_distribution_link.py
+++ b/tests/fleet/test_distribution_link.py
@@ -5,8 +5,9 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
-from rosechute.messages import framing
+from rosechute.messages import framing, link
 from rosechute.messages.framing import FrameError, FrameReader, Kind, encode_frame
 from rosechute.messages.link import LinkConnection, LinkError, LinkPool, LinkServer
 
@@ -114,6 +115,71 @@
         pool.close()
         server.close()
 
+    async def test_a_connection_that_comes_up_late_is_used(self) -> None:
+        """Over a crowded link it takes longer than the time-out; the owner is told, and the next message passes."""
+        address = free_address()
+        came: asyncio.Queue[bytes] = asyncio.Queue()
+        server = LinkServer(address, lambda connection, kind, data: came.put_nowait(data))
+        await server.start()
+        closed: asyncio.Queue[LinkError] = asyncio.Queue()
+        pool = LinkPool(lambda connection, kind, data: None, closed.put_nowait)
+        loop = asyncio.get_running_loop()
+        original = loop.sock_connect
+        slow = asyncio.Event()
+
+        async def connect_late(opened: socket.socket, where: tuple[str, int]) -> None:
+            await slow.wait()
+            await original(opened, where)
+
+        with (
+            mock.patch.object(loop, "sock_connect", connect_late),
+            mock.patch.object(link, "CONNECT_TIMEOUT_S", 0.01),
+        ):
+            pool.send(address, Kind.DISTRIBUTION, b"dropped")
+            async with asyncio.timeout(5):
+                error = await closed.get()
+                self.assertEqual((error.step, error.reason), ("connect", "timed out"))
+                slow.set()
+                sent = 0
+                while came.empty():
+                    pool.send(address, Kind.DISTRIBUTION, b"kept")
+                    sent += 1
+                    await asyncio.sleep(0)
+                self.assertEqual(await came.get(), b"kept")
+        pool.close()
+        server.close()
+
+    async def test_attempts_are_bounded_and_end_with_the_pool(self) -> None:
+        closed: asyncio.Queue[LinkError] = asyncio.Queue()
+        pool = LinkPool(lambda connection, kind, data: None, closed.put_nowait)
+        running = 0
+        most = 0
+
+        async def never(opened: socket.socket, where: tuple[str, int]) -> None:
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                running -= 1
+
+        loop = asyncio.get_running_loop()
+        with (
+            mock.patch.object(loop, "sock_connect", never),
+            mock.patch.object(link, "CONNECT_TIMEOUT_S", 0.001),
+            mock.patch.object(link, "BACKOFF_FIRST_S", 0.001),
+            mock.patch.object(link, "BACKOFF_LIMIT_S", 0.001),
+        ):
+            async with asyncio.timeout(5):
+                for _ in range(8):
+                    pool.send("127.0.0.1:9", Kind.DISTRIBUTION, b"lost")
+                    await closed.get()
+            self.assertEqual(most, link.ATTEMPTS_AT_ONCE)
+            pool.close()
+            while running:
+                await asyncio.sleep(0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fleet/test_distribution_orders.py
+++ b/tests/fleet/test_distribution_orders.py
@@ -299,6 +299,27 @@
         self.assertIn(OTHER, edge.renewals)
 
 
+class LeaderlessTest(unittest.TestCase):
+    def test_a_silent_leader_may_be_asked_for_a_while(self) -> None:
+        """Over a crowded link it may still answer; whose link has ended can't."""
+        edge = AtSubscriber()
+        self.assertEqual(edge.subscriber.leaderless_since(), 0.0)
+        edge.renewed(0.01)
+        now = 0.01
+        while edge.subscriber.attached:
+            now += 0.05
+            edge.tick(now)
+        self.assertIsNone(edge.subscriber.leaderless_since())
+        edge.tick(now + 0.6)
+        self.assertIsNone(edge.subscriber.leaderless_since())
+        edge.tick(now + 0.8)
+        self.assertAlmostEqual(edge.subscriber.leaderless_since() or 0.0, now + 0.7)
+        edge.renewed(now + 0.9)
+        self.assertIsNone(edge.subscriber.leaderless_since())
+        edge.noted(edge.subscriber.connection_closed(now + 1.0, Dialed(LEADER)))
+        self.assertAlmostEqual(edge.subscriber.leaderless_since() or 0.0, now + 1.0)
+
+
 class LeaseChangeTest(unittest.TestCase):
     """Edges are told unasked when the lease is gained or lost."""
 
