Rate leases: edges serve tenants within their limit while there is no leader

Change: the leader leases up to 0.8 of a tenant's rate to the edges that demand it, with a store each; reports every 0.45 s in one message per edge tell what is held, and the leader reckons from above. A new leader renews only what edges report to it in its own term until all earlier leases have run out. Where a store would hold less than two requests nothing is leased, and edges carry the leader's word for it, which opens a successor's bucket at once.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -127,7 +127,7 @@
         """This machine leads from here on."""
         now = self._clock()
         logger.info("leads with term {}", term)
-        self._quota.lease_gained(now)
+        self._quota.lease_gained(now, term)
         self._send_all(self._publisher.lease_gained(now, term))
         self._reader.lease_gained()
 
--- a/rosechute/control/quota_service.py
+++ b/rosechute/control/quota_service.py
@@ -9,6 +9,7 @@
 from rosechute.messages import distribution_pb2 as pb
 
 from .quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+from .rate_leases import FULL_REACH_S, REACH_S, Holder, LeaseReport
 
 
 class QuotaService:
@@ -16,6 +17,7 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self._issuer = QuotaIssuer(_bounds(bounds))
+        self._term = 0
 
     def committed(self, now: float, body: bytes) -> None:
         """A newer configuration is in force."""
@@ -23,9 +25,10 @@
         if not isinstance(parsed, Failure):
             self._issuer.configure(now, _limits(parsed.unwrap()))
 
-    def lease_gained(self, now: float) -> None:
-        """This machine leads from here on."""
-        self._issuer.lease_gained(now)
+    def lease_gained(self, now: float, term: int) -> None:
+        """This machine leads from here on, for a term that is higher than every one before."""
+        self._term = term
+        self._issuer.lease_gained(now, now + FULL_REACH_S, now + REACH_S)
 
     def change_bounds(self, now: float, bounds: Bounds) -> None:
         """The settings name other bounds."""
@@ -33,6 +36,25 @@
 
     def answer(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
         """Issue what an edge asks for, as far as it may have it. Only while this machine leads."""
+        issue = self._issue(now, request)
+        if request.held:
+            self._renew(now, request, issue)
+        return issue
+
+    def _renew(self, now: float, request: pb.QuotaRequest, issue: pb.QuotaIssue) -> None:
+        """Grant leases anew. A report that may be older than this term is told the term and nothing else."""
+        issue.term = self._term
+        if request.term != self._term:
+            return
+        reports = [_report(held) for held in request.held]
+        for grant in self._issuer.renew(now, Holder(request.edge, request.boot), request.request, reports):
+            issue.granted.add(
+                tenant=grant.tenant, rate=grant.rate, depth=grant.depth, lifetime_ms=grant.lifetime_ms,
+                full_ms=grant.full_ms, late_share=grant.late_share,
+                deposit=grant.deposit, deposit_ms=grant.deposit_ms, bare_ms=grant.bare_ms,
+            )
+
+    def _issue(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
         wanted = [Wanted(each.tenant, each.tokens, each.least) for each in request.wanted]
         issue = pb.QuotaIssue(request=request.request)
         for issued in self._issuer.issue(now, request.edge, wanted):
@@ -45,6 +67,13 @@
         return issue
 
 
+def _report(held: pb.RateLease) -> LeaseReport:
+    return LeaseReport(
+        held.tenant, held.rate, held.depth, held.lifetime_ms / 1000.0, held.stored, held.demand, held.request_mean,
+        held.bare_ms / 1000.0,
+    )
+
+
 def _bounds(bounds: Bounds) -> QuotaBounds:
     return QuotaBounds(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
 
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -32,7 +32,9 @@
         address = settings.edge_link_address
         edge = EdgeIdentity(settings.node_name, settings.zone, address)
         self.subscriber = Subscriber(loop.time(), edge, boot, settings.seed_peers)
-        self.quota = QuotaClient(loop, settings.node_name, self.send_to_leader, self.subscriber.leaderless_since)
+        self.quota = QuotaClient(
+            loop, settings.node_name, boot, self.send_to_leader, self.subscriber.leaderless_since
+        )
         self._pool = LinkPool(self._received_dialed, self._dialed_closed)
         self._server = LinkServer(address, self._received, self._accepted_closed)
         self._timer: asyncio.TimerHandle | None = None
--- a/rosechute/processes/quota_client.py
+++ b/rosechute/processes/quota_client.py
@@ -1,4 +1,4 @@
-"""Asks the leader for quota tokens and tells requests how it was decided."""
+"""Asks the leader for quota tokens and rate leases, and tells requests how it was decided."""
 
 from __future__ import annotations
 
@@ -9,6 +9,10 @@
 
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.routing.quota_wallet import Decided, Decision, Issue, QuotaWallet
+from rosechute.routing.rate_lease import LeaseGrant
+
+LEAST_SLEEP_S = 0.001
+SEEK_S = 0.05  # how often it is looked for a leader, to report to
 
 
 class QuotaClient:
@@ -18,11 +22,12 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, name: str, send: Callable[[pb.Distribution], None],
+        self, loop: asyncio.AbstractEventLoop, name: str, boot: int, send: Callable[[pb.Distribution], None],
         leaderless_since: Callable[[], float | None],
     ) -> None:
         self._loop = loop
         self._name = name
+        self._boot = boot
         self._send = send
         self._leaderless_since = leaderless_since
         self._wallet = QuotaWallet()
@@ -37,6 +42,9 @@
             _tell(decisions)
         else:
             self._wake_at(self._loop.time())
+        if self._timer is None:
+            now = self._loop.time()
+            self._wake_at(self._due(now, self._leaderless_s(now)))
 
     def issued(self, issue: pb.QuotaIssue) -> None:
         """The leader's answer has come."""
@@ -44,8 +52,12 @@
             Issue(each.tenant, each.tokens, each.lifetime_ms / 1000.0, each.retry_after_ms / 1000.0)
             for each in issue.issued
         ]
-        _tell(self._wallet.issued(self._loop.time(), issue.request, issues))
-        if self._wallet.waits():
+        grants = [_grant(each) for each in issue.granted]
+        now = self._loop.time()
+        _tell(self._wallet.issued(now, issue.request, issues))
+        if issue.term:
+            _tell(self._wallet.granted(now, issue.request, issue.term, grants))
+        if self._wallet.waits() or issue.term:
             self._wake()
 
     def close(self) -> None:
@@ -55,6 +67,8 @@
             self._timer = None
 
     def _wake_at(self, when: float) -> None:
+        if when == math.inf:
+            return
         if self._timer is not None:
             if self._timer_at <= when:
                 return
@@ -68,14 +82,36 @@
             self._timer.cancel()
             self._timer = None
         now = self._loop.time()
-        since = self._leaderless_since()
-        leaderless_s = now - since if since is not None else None
+        leaderless_s = self._leaderless_s(now)
         _tell(self._wallet.tick(now, leaderless_s))
-        if since is None:
+        if leaderless_s is None:
             self._ask(now)
-        due = self._wallet.next_due(leaderless_s)
-        if due < math.inf:
-            self._wake_at(max(due, now + 0.001))
+            self._report(now)
+        self._wake_at(self._due(now, leaderless_s))
+
+    def _leaderless_s(self, now: float) -> float | None:
+        """For how long no leader has been known; None while one is."""
+        since = self._leaderless_since()
+        return now - since if since is not None else None
+
+    def _due(self, now: float, leaderless_s: float | None) -> float:
+        """When something is to be done next; infinity for nothing."""
+        report_at = max(self._wallet.report_due(now), now + (0.0 if leaderless_s is None else SEEK_S))
+        return max(min(self._wallet.next_due(leaderless_s), report_at), now + LEAST_SLEEP_S)
+
+    def _report(self, now: float) -> None:
+        request = next(self._requests)
+        reports = self._wallet.report(now, request)
+        if not reports:
+            return
+        message = pb.QuotaRequest(request=request, edge=self._name, boot=self._boot, term=self._wallet.term)
+        for report in reports:
+            message.held.add(
+                tenant=report.tenant, rate=report.rate, depth=report.depth, stored=report.stored,
+                lifetime_ms=math.ceil(report.remaining_s * 1000.0), demand=report.demand,
+                request_mean=report.request_mean, bare_ms=int(report.bare_s * 1000.0),
+            )
+        self._send(pb.Distribution(quota_request=message))
 
     def _ask(self, now: float) -> None:
         request = next(self._requests)
@@ -86,6 +122,13 @@
         self._send(pb.Distribution(quota_request=pb.QuotaRequest(request=request, edge=self._name, wanted=wanted)))
 
 
+def _grant(granted: pb.RateLease) -> LeaseGrant:
+    return LeaseGrant(
+        granted.tenant, granted.rate, granted.depth, granted.full_ms / 1000.0, granted.late_share,
+        granted.lifetime_ms / 1000.0, granted.deposit, granted.deposit_ms / 1000.0, granted.bare_ms / 1000.0,
+    )
+
+
 def _tell(decisions: Iterable[Decision]) -> None:
     for decision in decisions:
         decision.decided(decision.allowed, decision.retry_after_s)
--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -1,8 +1,11 @@
-"""The edge's side of the quotas: tokens that the leader issued, and requests that wait for some.
+"""The edge's side of the quotas: tokens that the leader issued, rate leases, and requests that wait for tokens.
 
 Pure: callers give the time and carry out the decisions. A request takes tokens that are held, else it waits while the
-leader is asked; one ask at a time for each tenant, so that what comes meanwhile goes into the next. Tokens are void
-a lifetime after the ask for them was sent, which is never later than a lifetime after they were issued.
+leader is asked; one ask at a time for each tenant, so that what comes meanwhile goes into the next. Issued tokens are
+void a lifetime after the ask for them was sent, which is never later than a lifetime after they were issued.
+
+What is leased is reported for all tenants together a few times a second, while there is demand or anything is held.
+Only the answer to the newest report counts: so the leader knows from a report what this edge may hold.
 """
 
 from __future__ import annotations
@@ -12,15 +15,23 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .rate_lease import LeaseGrant, LeaseReport, RateLease
+
 WAIT_S = 0.25  # a request waits no longer for tokens of a bucket that fills
 WAIT_SILENT_S = 0.12  # where the leader does not answer
 WAIT_LEADERLESS_S = 0.04  # where no leader is known
+ACCRUAL_WAIT_S = 0.2  # the same, where its lease will cover the request by then
 ANSWER_S = 0.08  # an ask without an answer for so long is lost
 LEADERLESS_S = 2.0  # a new leader is there after so long
 RETRY_LEAST_S = 0.3  # when to come back where the leader does not answer, at the earliest
+COVERED_LEAST_S = 0.05  # the same, where its lease will cover the request
 AHEAD_S = 0.2  # of the present demand is asked for ahead
 AHEAD_REQUESTS = 3.0  # but only where that is several requests: tokens that are not spent are lost to the tenant
 DEMAND_SPAN_S = 1.0  # over which the demand is measured
+LEASE_DEMAND_SPAN_S = 8.0  # the same, for what is to be leased
+DEMANDED_S = 4.0  # after its last request a tenant is reported for so long
+REPORT_S = 0.45  # between two reports
+REPORT_LOST_S = 0.9  # a report without an answer for so long is lost
 
 Decided = Callable[[bool, float], None]
 
@@ -72,19 +83,29 @@
     dry_until: float = -math.inf  # the leader said to ask again then
     demand: float = 0.0  # tokens a second
     request_mean: float = 0.0
+    lease_demand: float = 0.0  # tokens a second, over a longer span
     demand_at: float = -math.inf
+    lease: RateLease = field(default_factory=RateLease)
 
     def expire(self, now: float) -> None:
         """Drop tokens that are void."""
         while self.held and self.held[0][0] <= now:
             self.held.popleft()
 
-    def total(self) -> int:
-        """Tokens that are held."""
+    def total(self, now: float) -> int:
+        """Tokens that can be spent."""
+        self.expire(now)
+        return self.issued() + self.lease.available(now)
+
+    def issued(self) -> int:
+        """Tokens that were issued, without those of the lease."""
         return sum(tokens for _, tokens in self.held)
 
     def take(self, tokens: int) -> None:
-        """Spend; the oldest first."""
+        """Spend; issued tokens first, the oldest first."""
+        leased = max(0, tokens - self.issued())
+        self.lease.take(leased)
+        tokens -= leased
         while tokens > 0:
             void_at, first = self.held.popleft()
             if first > tokens:
@@ -94,7 +115,8 @@
     def count(self, now: float, tokens: int) -> None:
         """Measure the demand."""
         elapsed = now - self.demand_at
-        self.demand = self.demand * math.exp(-elapsed / DEMAND_SPAN_S) + tokens / DEMAND_SPAN_S
+        self.demand = _counted(self.demand, elapsed, tokens, DEMAND_SPAN_S)
+        self.lease_demand = _counted(self.lease_demand, elapsed, tokens, LEASE_DEMAND_SPAN_S)
         self.request_mean += (tokens - self.request_mean) * (0.1 if self.request_mean else 1.0)
         self.demand_at = now
 
@@ -106,15 +128,47 @@
 
     def gives_up_at(self, leaderless_s: float | None) -> float:
         """When the first request that waits is refused."""
-        since = self.waiting[0].since
-        if leaderless_s is not None:
-            return since + WAIT_LEADERLESS_S
-        return since + (WAIT_S if self.heard_at >= since else WAIT_SILENT_S)
+        first = self.waiting[0]
+        if leaderless_s is None and self.heard_at >= first.since:
+            return first.since + WAIT_S
+        if self.covers_at(first.tokens) <= first.since + ACCRUAL_WAIT_S:
+            return first.since + ACCRUAL_WAIT_S
+        return first.since + (WAIT_SILENT_S if leaderless_s is None else WAIT_LEADERLESS_S)
+
+    def retry_s(self, now: float, tokens: int, leaderless_s: float | None) -> float:
+        """When to come back with a refused request: its lease will cover it, or the leader has tokens or is there."""
+        expected_s = self.dry_until - now
+        if expected_s <= 0.0 or leaderless_s is not None:
+            expected_s = max(RETRY_LEAST_S, LEADERLESS_S - (leaderless_s or 0.0))
+        return min(expected_s, max(COVERED_LEAST_S, self.covers_at(tokens) - now))
 
     def asking(self, now: float) -> bool:
         """Whether an ask is under way."""
         return now < self.asked_at + ANSWER_S
 
+    def reported(self, now: float) -> bool:
+        """Whether the leader is to know of this tenant."""
+        self.lease.advance(now)
+        return self.lease.rate > 0.0 or now < self.demand_at + DEMANDED_S
+
+    def report(self, now: float, name: str) -> LeaseReport:
+        """What is held and demanded."""
+        demand = self.lease_demand * math.exp(-(now - self.demand_at) / LEASE_DEMAND_SPAN_S)
+        return self.lease.report(now, name, demand, self.request_mean)
+
+    def covers_at(self, tokens: int) -> float:
+        """When the lease, with what is held, will bring so many tokens, as of the last call; infinity for never."""
+        return self.lease.covers_at(tokens - self.issued())
+
+    def serve(self, now: float) -> list[Decision]:
+        """Send those that wait, in order, as far as the tokens go."""
+        decisions: list[Decision] = []
+        while self.waiting and self.total(now) >= self.waiting[0].tokens:
+            waiting = self.waiting.popleft()
+            self.take(waiting.tokens)
+            decisions.append(Decision(waiting.decided, True, 0.0))
+        return decisions
+
 
 class QuotaWallet:
     """Tokens of all tenants at one edge."""
@@ -122,6 +176,11 @@
     def __init__(self) -> None:
         self._tenants: dict[str, _Tenant] = {}
         self._asks: dict[int, float] = {}  # by request number: when it was sent
+        self._report = 0  # number of the newest report
+        self._reported_at = -math.inf  # when it was sent
+        self._report_due = -math.inf
+        self._leaderless = False  # no leader was known at the last tick
+        self.term = 0  # of the leader that answered a report last
 
     def spend(self, now: float, tenant: str, tokens: int, decided: Decided) -> list[Decision]:
         """A request wants to be sent."""
@@ -129,12 +188,12 @@
         if state is None:
             state = self._tenants[tenant] = _Tenant()
         state.count(now, tokens)
-        state.expire(now)
-        if not state.waiting and state.total() >= tokens:
+        if (not state.waiting or self._leaderless) and state.total(now) >= tokens:
             state.take(tokens)
             return [Decision(decided, True, 0.0)]
-        if tokens >= state.least and state.dry_until - now > WAIT_S:
-            return [Decision(decided, False, state.dry_until - now)]
+        refused_until = state.dry_until if tokens >= state.least else -math.inf
+        if min(refused_until, state.covers_at(tokens)) - now > WAIT_S:
+            return [Decision(decided, False, min(refused_until, state.covers_at(tokens)) - now)]
         state.waiting.append(_Waiting(tokens, now, decided))
         return []
 
@@ -146,8 +205,7 @@
                 continue
             if now < state.dry_until and state.waiting[0].tokens >= state.least:
                 continue
-            state.expire(now)
-            held = state.total()
+            held = state.total(now)
             least = max(1, state.waiting[0].tokens - held)
             wanted = sum(waiting.tokens for waiting in state.waiting) - held + state.ahead(now)
             state.asked_at, state.least = now, state.waiting[0].tokens
@@ -168,15 +226,42 @@
                 decisions += self._issued(now, sent_at, state, issue)
         return decisions
 
+    def report(self, now: float, request: int) -> list[LeaseReport]:
+        """What to report to the leader now, under this request number, higher than all before; nothing if not due."""
+        if now < self._report_due:
+            return []
+        reports = [state.report(now, name) for name, state in self._tenants.items() if state.reported(now)]
+        if reports:
+            self._report, self._reported_at, self._report_due = request, now, now + REPORT_LOST_S
+        return reports
+
+    def granted(self, now: float, request: int, term: int, grants: list[LeaseGrant]) -> list[Decision]:
+        """The leader's answer to a report. One of another term than the report's makes a new report due."""
+        if request != self._report:
+            return []
+        self._report = 0
+        self._report_due = self._reported_at + REPORT_S if term == self.term else now
+        self.term = term
+        decisions: list[Decision] = []
+        for grant in grants:
+            state = self._tenants.get(grant.tenant)
+            if state is not None:
+                state.lease.granted(now, self._reported_at, grant)
+                decisions += state.serve(now)
+        return decisions
+
     def tick(self, now: float, leaderless_s: float | None) -> list[Decision]:
-        """Refuse what has waited for too long; `leaderless_s` tells for how long there has been no leader."""
+        """Send what leases cover by now, refuse what has waited for too long; `leaderless_s` tells for how long there
+        has been no leader."""
+        self._leaderless = leaderless_s is not None
         decisions: list[Decision] = []
         for state in self._tenants.values():
+            decisions += state.serve(now)
             while state.waiting and now >= state.gives_up_at(leaderless_s):
-                retry_s = state.dry_until - now
-                if retry_s <= 0.0 or leaderless_s is not None:
-                    retry_s = max(RETRY_LEAST_S, LEADERLESS_S - (leaderless_s or 0.0))
-                decisions.append(Decision(state.waiting.popleft().decided, False, retry_s))
+                waiting = state.waiting.popleft()
+                retry_s = state.retry_s(now, waiting.tokens, leaderless_s)
+                decisions.append(Decision(waiting.decided, False, retry_s))
+                decisions += state.serve(now)
         for number in [number for number, sent in self._asks.items() if now - sent > 2.0]:
             del self._asks[number]
         return decisions
@@ -190,18 +275,21 @@
         due = math.inf
         for state in self._tenants.values():
             if state.waiting:
-                due = min(due, state.gives_up_at(leaderless_s))
+                due = min(due, state.gives_up_at(leaderless_s), state.covers_at(state.waiting[0].tokens))
                 if leaderless_s is None:
                     due = min(due, max(state.asked_at + ANSWER_S, state.dry_until))
         return due
 
+    def report_due(self, now: float) -> float:
+        """When `report` has something to tell; infinity where nothing is demanded or held."""
+        if any(state.reported(now) for state in self._tenants.values()):
+            return self._report_due
+        return math.inf
+
     def held(self, now: float, tenant: str) -> int:
         """Tokens held for a tenant."""
         state = self._tenants.get(tenant)
-        if state is None:
-            return 0
-        state.expire(now)
-        return state.total()
+        return 0 if state is None else state.total(now)
 
     def _issued(self, now: float, sent_at: float, state: _Tenant, issue: Issue) -> list[Decision]:
         state.asked_at = -math.inf
@@ -210,23 +298,26 @@
         if issue.tokens and void_at > now:
             state.held.append((void_at, issue.tokens))
         state.dry_until = now + issue.retry_after_s if not issue.tokens else -math.inf
-        state.expire(now)
-        decisions: list[Decision] = []
-        while state.waiting and state.total() >= state.waiting[0].tokens:
-            waiting = state.waiting.popleft()
-            state.take(waiting.tokens)
-            decisions.append(Decision(waiting.decided, True, 0.0))
-        return decisions + _hopeless(now, state)
+        return state.serve(now) + _hopeless(now, state)
+
+
+def _counted(demand: float, elapsed: float, tokens: int, span_s: float) -> float:
+    """A demand, measured over a span, with one request more."""
+    return demand * math.exp(-elapsed / span_s) + tokens / span_s
 
 
 def _hopeless(now: float, state: _Tenant) -> list[Decision]:
     """Requests that would not get tokens in their time are refused at once."""
     kept: deque[_Waiting] = deque()
     decisions: list[Decision] = []
+    ahead = 0
     for waiting in state.waiting:
-        if waiting.tokens >= state.least and state.dry_until > waiting.since + WAIT_S:
-            decisions.append(Decision(waiting.decided, False, state.dry_until - now))
+        covered_at = state.covers_at(ahead + waiting.tokens)
+        expected_at = min(state.dry_until if waiting.tokens >= state.least else now, covered_at)
+        if expected_at > waiting.since + WAIT_S:
+            decisions.append(Decision(waiting.decided, False, expected_at - now))
         else:
             kept.append(waiting)
+            ahead += waiting.tokens
     state.waiting = kept
     return decisions
--- /dev/null
+++ b/tests/fleet/test_quota_leases.py
@@ -0,0 +1,295 @@
+"""Rate leases one by one: what an edge's lease brings, what the leader reckons, reports, words and terms."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+import unittest
+
+from rosechute.configuration.process import Bounds
+from rosechute.control.quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+from rosechute.control.quota_service import QuotaService
+from rosechute.control.rate_leases import (
+    BARE_S,
+    LEASE_S,
+    REACH_S,
+    Holder,
+    LeaseGrant,
+    LeaseReport,
+    LeaseTotals,
+    RateLeases,
+    fair_level,
+)
+from rosechute.messages import distribution_pb2 as pb
+from rosechute.routing import rate_lease
+from rosechute.routing.quota_wallet import QuotaWallet
+from rosechute.routing.rate_lease import RateLease
+
+TOTALS = LeaseTotals(900.0, 3000.0)
+
+
+def granted(rate: float, depth: float, deposit: int = 0) -> rate_lease.LeaseGrant:
+    return rate_lease.LeaseGrant("t", rate, depth, 3.0, 0.5, 5.0, deposit, 0.4, 0.0)
+
+
+def report(demand: float, held: LeaseGrant | None = None, remaining_s: float = LEASE_S) -> LeaseReport:
+    rate, depth = (held.rate, held.depth) if held is not None else (0.0, 0.0)
+    return LeaseReport("t", rate, depth, remaining_s if rate else 0.0, 0.0, demand, 10.0)
+
+
+class EdgeLeaseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lease = RateLease()
+
+    def test_the_store_fills_to_its_depth(self) -> None:
+        self.lease.granted(0.0, 0.0, granted(100.0, 150.0))
+        self.assertEqual(self.lease.available(1.0), 100)
+        self.assertEqual(self.lease.available(2.0), 150)
+        self.lease.take(120)
+        self.assertEqual(self.lease.available(2.5), 80)
+
+    def test_late_in_its_time_a_part_of_the_rate_holds(self) -> None:
+        self.lease.granted(0.0, 0.0, granted(100.0, 1000.0))
+        self.assertEqual(self.lease.available(4.0), 350)
+
+    def test_the_end_takes_the_store_too(self) -> None:
+        self.lease.granted(0.1, 0.0, granted(100.0, 1000.0))
+        self.assertGreater(self.lease.available(4.99), 300)
+        self.assertEqual(self.lease.available(5.0), 0)
+        self.assertEqual(self.lease.report(5.0, "t", 1.0, 1.0).rate, 0.0)
+
+    def test_a_grant_after_a_long_sleep_brings_nothing_for_the_sleep(self) -> None:
+        self.lease.granted(0.0, 0.0, granted(100.0, 1000.0))
+        self.lease.granted(60.0, 59.9, granted(100.0, 1000.0))
+        self.assertEqual(self.lease.available(60.0), 0)
+
+    def test_a_deposit_that_comes_late_is_void(self) -> None:
+        self.lease.granted(0.3, 0.0, granted(100.0, 1000.0, 70))
+        self.assertEqual(self.lease.available(0.3), 70)
+        late = RateLease()
+        late.granted(0.4, 0.0, granted(100.0, 1000.0, 70))
+        self.assertEqual(late.available(0.4), 0)
+
+    def test_a_lowered_depth_binds_at_once(self) -> None:
+        self.lease.granted(0.0, 0.0, granted(100.0, 1000.0))
+        self.lease.granted(2.0, 2.0, granted(10.0, 50.0))
+        self.assertEqual(self.lease.available(2.0), 50)
+
+    def test_when_it_covers(self) -> None:
+        self.lease.granted(0.0, 0.0, granted(100.0, 400.0))
+        self.lease.advance(1.0)
+        self.assertEqual(self.lease.covers_at(250), 2.5)
+        self.assertEqual(self.lease.covers_at(325), 3.5)
+        self.assertEqual(self.lease.covers_at(390), 4.8)
+        self.assertEqual(self.lease.covers_at(401), math.inf)
+        self.assertEqual(RateLease().covers_at(1), math.inf)
+
+
+class LeaderLeasesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.leases = RateLeases(TOTALS, known_from=0.0)
+        self.a, self.b = Holder("a", 1), Holder("b", 1)
+
+    def test_what_moves_is_granted_after_the_other_has_confirmed(self) -> None:
+        first = self.leases.report(0.0, self.a, report(900.0))
+        self.assertGreater(first.rate, 850.0)
+        self.leases.report(0.1, self.b, report(900.0))
+        lowered = self.leases.report(0.2, self.a, report(0.0, first))
+        self.assertLess(lowered.rate, 500.0)
+        early = self.leases.report(0.3, self.b, report(900.0))
+        self.assertLess(early.rate, 50.0)  # the answer to `a` may not have come
+        self.leases.report(0.4, self.a, report(0.0, lowered))
+        self.assertGreater(self.leases.report(0.5, self.b, report(900.0)).rate, 400.0)
+
+    def test_a_silent_edge_is_reckoned_until_its_lease_has_run_out(self) -> None:
+        self.leases.report(0.0, self.a, report(900.0))
+        for step in range(1, 12):
+            grant = self.leases.report(step * 0.45, self.b, report(900.0))
+            self.assertLessEqual(grant.depth, TOTALS.depth)
+        self.assertLess(grant.rate, 0.55 * TOTALS.rate)
+        self.assertGreater(self.leases.report(REACH_S + 0.1, self.b, report(900.0)).rate, 850.0)
+
+    def test_a_restarted_edge_is_another_holder(self) -> None:
+        self.leases.report(0.0, self.a, report(900.0))
+        self.assertLess(self.leases.report(0.1, Holder("a", 2), report(900.0)).rate, 50.0)
+
+    def test_sums_hold_whatever_is_lost(self) -> None:
+        for seed in range(60):
+            draw = random.Random(seed)
+            leases = RateLeases(TOTALS, known_from=0.0)
+            held: dict[Holder, tuple[LeaseGrant, float]] = {}
+            now = 0.0
+            for _ in range(200):
+                now += draw.expovariate(8.0)
+                holder = Holder(draw.choice("abcdef"), draw.randrange(2))
+                before = held.get(holder)
+                left = 0.0 if before is None else before[1] - now
+                lease = before[0] if before is not None and left > 0 else None
+                grant = leases.report(now, holder, report(draw.choice((0.0, 50.0, 400.0, 2000.0)), lease, left))
+                if draw.random() < 0.7:
+                    held[holder] = (grant, now + LEASE_S)
+                running = [lease for lease, until in held.values() if until > now]
+                self.assertLessEqual(sum(each.depth for each in running), TOTALS.depth + 1e-6)
+                full = [lease for lease, until in held.values() if until - LEASE_S + lease.full_ms / 1e3 > now]
+                late = sum(each.rate for each in running) - sum(each.rate for each in full)
+                rate = sum(each.rate for each in full) + late * grant.late_share
+                self.assertLessEqual(rate, TOTALS.rate + 1e-6)
+
+    def test_a_new_leader_renews_what_is_reported_and_grants_no_more(self) -> None:
+        old = self.leases.report(0.0, self.a, report(900.0))
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        self.assertEqual(new.report(0.1, self.b, report(900.0)).rate, 0.0)
+        renewed = new.report(0.2, self.a, report(900.0, old, 4.0))
+        self.assertGreater(renewed.rate, 0.4 * old.rate)
+        self.assertLessEqual(renewed.rate, old.rate)
+        again = new.report(0.3, self.a, report(900.0, renewed))
+        self.assertLessEqual(again.rate + new.report(0.4, self.b, report(900.0)).rate, old.rate + 1e-6)
+
+    def test_nothing_is_leased_where_a_store_is_too_small(self) -> None:
+        huge = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 2000.0)
+        grant = self.leases.report(0.0, self.a, huge)
+        self.assertEqual((grant.rate, grant.bare_ms), (0.0, int(BARE_S * 1000)))
+
+    def test_a_word_that_nothing_is_leased_is_kept(self) -> None:
+        self.leases.report(0.0, self.a, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 2000.0))
+        for step in range(1, 11):
+            grant = self.leases.report(step * 0.45, self.a, report(900.0))
+            self.assertEqual((grant.rate, grant.bare_ms), (0.0, 0))
+        self.assertGreater(self.leases.report(BARE_S, self.a, report(900.0)).rate, 0.0)
+
+    def test_no_word_while_leases_may_run(self) -> None:
+        self.assertEqual(RateLeases(TOTALS, 5.0).report(0.0, self.a, report(0.0)).bare_ms, 0)
+
+    def test_the_level_of_equal_parts(self) -> None:
+        self.assertEqual(fair_level([10.0, 50.0, 100.0], 90.0), 40.0)
+        self.assertEqual(fair_level([10.0, 20.0], 90.0), 20.0)
+
+
+class NewLeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.issuer = QuotaIssuer(QuotaBounds(8.0, 0.1, 0.0))
+        self.issuer.lease_gained(0.0, 3.0, 5.0)
+        self.issuer.configure(0.0, {"t": TenantLimit(1000.0, 1000.0)})
+
+    def issued(self, now: float) -> int:
+        return sum(self.issuer.issue(now, "e", [Wanted("t", 10, 10)])[0].tokens for _ in range(200))
+
+    def test_until_leases_are_known_only_the_part_that_is_never_leased(self) -> None:
+        self.assertLess(self.issued(1.0), 300)
+        self.assertLess(self.issued(3.0), 500)
+
+    def test_a_word_of_the_leader_before_opens_the_bucket(self) -> None:
+        told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=2.0)
+        self.issuer.renew(0.0, Holder("e", 1), 1, [told])
+        self.assertGreater(self.issued(0.5), 300)
+
+    def test_the_word_is_passed_on_through_changes_of_leader(self) -> None:
+        told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=2.0)
+        grant = self.issuer.renew(0.0, Holder("e", 1), 1, [told])[0]
+        self.assertEqual((grant.rate, grant.bare_ms), (0.0, int(BARE_S * 1000)))
+        self.issuer.lease_gained(2.0, 5.0, 7.0)
+        told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=3.0)
+        self.issuer.renew(2.0, Holder("e", 1), 2, [told])
+        self.assertGreater(self.issued(2.5), 300)
+
+    def test_a_word_that_has_run_out_does_not(self) -> None:
+        told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=0.05)
+        self.issuer.renew(0.0, Holder("e", 1), 1, [told])
+        self.assertLess(self.issued(1.0), 300)
+
+    def test_a_report_that_was_overtaken_tells_nothing(self) -> None:
+        self.assertEqual(len(self.issuer.renew(0.1, Holder("e", 1), 8, [report(10.0)])), 1)
+        self.assertEqual(self.issuer.renew(0.2, Holder("e", 1), 7, [report(10.0)]), [])
+
+
+class ReportTest(unittest.TestCase):
+    """Reports over the messages: of which term, and which answer counts."""
+
+    def test_a_report_of_another_term_is_told_the_term_only(self) -> None:
+        service = QuotaService(Bounds(quota_overshoot=0.1, quota_slack=10_000.0))
+        tenant = {"name": "t", "api_keys": ["k"], "rate_per_s": 1000, "burst": 1000}
+        body = {"config_version": 1, "routes": [], "services": [], "tenants": [tenant]}
+        service.committed(0.0, json.dumps(body).encode())
+        service.lease_gained(0.0, 7)
+        request = pb.QuotaRequest(request=1, edge="e", boot=1, term=6)
+        request.held.add(tenant="t", rate=100.0, depth=100.0, lifetime_ms=4000, demand=100.0, request_mean=5.0)
+        answer = service.answer(0.1, request)
+        self.assertEqual((answer.term, len(answer.granted)), (7, 0))
+        request.term, request.request = 7, 2
+        answer = service.answer(0.2, request)
+        self.assertEqual(len(answer.granted), 1)
+        self.assertLessEqual(answer.granted[0].rate, 100.0)
+        self.assertGreater(answer.granted[0].rate, 0.0)
+
+    def test_only_the_answer_to_the_newest_report_counts(self) -> None:
+        wallet = QuotaWallet()
+        wallet.spend(0.0, "t", 10, lambda allowed, retry_s: None)
+        self.assertEqual(len(wallet.report(0.0, 1)), 1)
+        self.assertEqual(wallet.report(0.5, 2), [])
+        self.assertEqual(len(wallet.report(0.9, 3)), 1)
+        wallet.granted(1.0, 1, 0, [granted(100.0, 100.0)])
+        self.assertEqual(wallet.held(1.5, "t"), 0)
+        wallet.granted(1.5, 3, 0, [granted(100.0, 100.0)])
+        self.assertEqual(wallet.held(2.0, "t"), 50)
+        wallet.granted(2.0, 3, 0, [granted(100.0, 500.0, 300)])
+        self.assertEqual(wallet.held(2.0, "t"), 50)
+
+    def test_an_answer_of_another_term_makes_a_report_due(self) -> None:
+        wallet = QuotaWallet()
+        wallet.spend(0.0, "t", 10, lambda allowed, retry_s: None)
+        wallet.report(0.0, 1)
+        wallet.granted(0.01, 1, 9, [])
+        self.assertEqual((wallet.term, wallet.report_due(0.01)), (9, 0.01))
+
+    def test_reports_end_with_the_demand_and_the_lease(self) -> None:
+        wallet = QuotaWallet()
+        wallet.spend(0.0, "t", 10, lambda allowed, retry_s: None)
+        self.assertTrue(wallet.report(0.0, 1))
+        wallet.granted(0.0, 1, 0, [granted(100.0, 100.0)])
+        self.assertTrue(wallet.report(4.5, 2))
+        self.assertEqual(wallet.report_due(5.1), math.inf)
+
+
+class WithoutLeaderTest(unittest.TestCase):
+    """A wallet that holds a lease, and no leader."""
+
+    def setUp(self) -> None:
+        self.wallet = QuotaWallet()
+        self.told: list[tuple[str, bool]] = []
+        self.wallet.spend(0.0, "t", 1, lambda allowed, retry_s: None)
+        self.wallet.tick(0.2, 0.2)
+        self.wallet.report(0.2, 1)
+        self.wallet.granted(0.2, 1, 0, [granted(1000.0, 1000.0)])
+
+    def spend(self, now: float, name: str, tokens: int) -> None:
+        decisions = self.wallet.spend(now, "t", tokens, lambda allowed, retry_s: self.told.append((name, allowed)))
+        for decision in decisions:
+            decision.decided(decision.allowed, decision.retry_after_s)
+
+    def tick(self, now: float) -> None:
+        for decision in self.wallet.tick(now, 1.0):
+            decision.decided(decision.allowed, decision.retry_after_s)
+
+    def test_what_the_store_holds_is_spent_at_once(self) -> None:
+        self.spend(1.0, "a", 700)
+        self.assertEqual(self.told, [("a", True)])
+
+    def test_what_the_lease_brings_soon_is_waited_for(self) -> None:
+        self.spend(1.2, "a", 1000)
+        self.spend(1.2, "b", 150)
+        self.assertAlmostEqual(self.wallet.next_due(1.0), 1.35)
+        self.tick(1.351)
+        self.assertEqual(self.told, [("a", True), ("b", True)])
+
+    def test_what_it_does_not_bring_soon_is_refused(self) -> None:
+        self.spend(1.2, "a", 1000)
+        self.spend(1.2, "b", 240)
+        self.tick(1.239)
+        self.assertEqual(self.told, [("a", True)])
+        self.tick(1.241)
+        self.assertEqual(self.told, [("a", True), ("b", False)])
+
+
+if __name__ == "__main__":
+    unittest.main()
