Let the last leader lead again at once after a restart of the grantors

Need: after all core machines were killed or lost power, a leader was there only 1.3 s after their return, as every grantor waits for one lease; edges that were restarted too get their list, tokens and confirmations from the leader. Change: a grantor syncs to which machine it grants before the first grant; after a restart that machine alone may have the lease at once. New acceptors and wiped ones know of no grants and wait as before.

--- a/rosechute/coordination/disk.py
+++ b/rosechute/coordination/disk.py
@@ -37,6 +37,7 @@
     _token: int = 0
     _next_try: float = 0.0
     _unwritten: list[bytes] = field(default_factory=list)
+    _deferred: pb.Record | None = None  # written beside the next record, without a sync of its own
     _unwritten_probe: bool = False
     _batches: deque[_Batch] = field(default_factory=deque)
     _waiting: deque[tuple[int, Callable[[], None]]] = field(default_factory=deque)
@@ -50,6 +51,10 @@
         if then is not None:
             self.after(self.number, then)
 
+    def defer(self, record: pb.Record) -> None:
+        """Write a record beside the next one; nothing waits for it. A later call replaces it."""
+        self._deferred = record
+
     def after(self, number: int, then: Callable[[], None]) -> None:
         """Call this once the record of this number, and with it all before, is synced."""
         if number <= self.durable:
@@ -61,6 +66,9 @@
         """What is to be written now."""
         if not self._unwritten:
             return None
+        if self._deferred is not None:
+            deferred, self._deferred = self._deferred, None
+            self.write(deferred)
         records, self._unwritten = self._unwritten, []
         probe, self._unwritten_probe = self._unwritten_probe, False
         self._token += 1
--- a/rosechute/coordination/heartbeats.py
+++ b/rosechute/coordination/heartbeats.py
@@ -74,6 +74,7 @@
             healthy=context.healthy,
             reached=context.detector.reached(context.now),
             lease_free=self._grantor.free(),
+            lease_kept_for=self._grantor.kept_for(),
             term=max(memory.term.number, self._holder.term if leads else 0),
             leads=leads,
             newcomer=memory.newcomer,
--- a/rosechute/coordination/lease.py
+++ b/rosechute/coordination/lease.py
@@ -2,6 +2,11 @@
 
 A grant binds the grantor for one lease on its steady clock. The holder counts from the moment when it asked and stops
 a margin earlier. Grants are given within one epoch only, and not once that epoch is sealed.
+
+A grantor that was restarted doesn't know how long its last grant runs, but its disk tells to whom it was given: the
+machine is synced before it is granted for the first time. That machine alone may have the lease again at once; all
+others wait for one lease. A machine that has become an acceptor knows of no grants, and waits with everybody; to whom
+it then grants renewals it notes beside its next record, as nothing depends on that and a sync would delay orders.
 """
 
 from __future__ import annotations
@@ -23,9 +28,10 @@
     for acceptor in view.acceptors:
         peer = context.detector.peers.get(acceptor.id)
         if acceptor.id == context.own.id:
-            free += grantor.free()
+            free += grantor.free() or grantor.kept_for() == context.own.id
         elif peer is not None and context.detector.reaches(context.now, acceptor.id):
-            free += peer.beat.lease_free and peer.beat.epoch == view.epoch
+            would = peer.beat.lease_free or peer.beat.lease_kept_for == context.own.id
+            free += would and peer.beat.epoch == view.epoch
     return free
 
 
@@ -37,15 +43,26 @@
     abstain_until: float
     holder: Term = Term()  # to whom the grant that runs was given
     until: float = 0.0
-    _number: int = 0  # of the record with the newest term
+    kept: str = ""  # the machine to which the grant of the process before was given
+    _number: int = 0  # of the newest record with a term or a grantee
 
     def free(self) -> bool:
         """Whether another machine could have the lease from this grantor now."""
         context = self.context
         return context.is_acceptor and context.settled and context.now >= max(self.until, self.abstain_until)
 
+    def kept_for(self) -> str:
+        """The only machine that could have the lease from this grantor now; empty for none or any."""
+        context = self.context
+        if not context.is_acceptor or not context.settled:
+            return ""
+        if context.now < self.until:
+            return self.holder.holder
+        return self.kept if context.now < self.abstain_until else ""
+
     def abstain(self) -> None:
         """Grant nothing for one lease: grants may run elsewhere that this machine doesn't know."""
+        self.kept = ""
         self.abstain_until = max(self.abstain_until, self.context.now + self.context.timing.lease)
 
     def on_request(self, sender: Identity, boot: int, request: pb.LeaseRequest) -> None:
@@ -55,14 +72,23 @@
         if not self._may_grant(sender, request, asked):
             return
         self.holder, self.until = asked, context.now + context.timing.lease
-        grant = partial(self._grant, sender, request, asked)
-        if request.renewal:
-            grant()
-        elif asked == context.memory.term:
-            context.disk.after(self._number, grant)
+        if context.memory.grantee != sender.id:
+            self._note(sender, request)
+        if not request.renewal and asked != context.memory.term:
+            self._record(pb.Record(term=asked.message()))
+        context.disk.after(self._number, partial(self._grant, sender, request, asked))
+
+    def _note(self, sender: Identity, request: pb.LeaseRequest) -> None:
+        memory, disk = self.context.memory, self.context.disk
+        note = pb.Record(grantee=pb.GranteeRecord(holder=sender.id, number=memory.grantee_number + 1))
+        if request.renewal and not memory.grantee:
+            disk.defer(note)
         else:
-            context.disk.write(pb.Record(term=asked.message()), grant)
-            self._number = context.disk.number
+            self._record(note)
+
+    def _record(self, record: pb.Record) -> None:
+        self.context.disk.write(record)
+        self._number = self.context.disk.number
 
     def on_release(self, sender: Identity, boot: int, release: pb.LeaseRelease) -> None:
         """The holder or a candidate gives its grant back."""
@@ -74,7 +100,9 @@
         context, memory = self.context, self.context.memory
         if request.epoch != memory.view.epoch or not context.is_acceptor or not context.settled:
             return False
-        if context.now < self.abstain_until or not context.detector.reaches(context.now, sender.id):
+        if context.now < self.abstain_until and sender.id != self.kept:
+            return False
+        if not context.detector.reaches(context.now, sender.id):
             return False
         if context.now < self.until and self.holder.holder != sender.id:
             return False
--- a/rosechute/coordination/membership.py
+++ b/rosechute/coordination/membership.py
@@ -45,13 +45,13 @@
     def adopt(self, view: View, state: State, accepted: Ballot | None = None) -> None:
         """Take over a decided view with its state."""
         context = self._context
-        before = context.memory.view
+        joins = context.memory.joins(view)
         if accepted is not None:
             record = pb.AdoptRecord(accepted=accepted.message())
         else:
             record = pb.AdoptRecord(view=view.message(), state=state.message())
         context.disk.write(pb.Record(adopt=record), partial(self._adopted, view.epoch))
-        if view.epoch != before.epoch + 1 or not before.accepts(context.own.id):
+        if joins:
             self._grantor.abstain()
         self._committed()
         self.proposer.stop()
--- a/rosechute/coordination/memory.py
+++ b/rosechute/coordination/memory.py
@@ -40,6 +40,8 @@
     promised: Ballot | None = None  # for the view after `view`: the epoch is sealed
     accepted: Proposal | None = None
     term: Term = Term()
+    grantee: str = ""  # to whom the newest grant of the leader lease was given; empty before the first as acceptor
+    grantee_number: int = 0  # of the record that told
 
     @property
     def sealed(self) -> bool:
@@ -51,6 +53,11 @@
         """The state with the greatest tag."""
         return self.written or self.committed
 
+    def joins(self, view: View) -> bool:
+        """Whether this machine was no acceptor right before that view, or can't tell: it knows of no grants there."""
+        own = self.machine.id if self.machine is not None else ""
+        return view.epoch != self.view.epoch + 1 or not self.view.accepts(own)
+
     def commit(self) -> None:
         """The write in `written` is known to stay. A later record implies this, so that it needs none of its own."""
         if self.written is not None:
@@ -73,6 +80,8 @@
             self._apply_learn(state_of(record.learn.state))
         elif kind == "term":
             self._apply_term(term_of(record.term))
+        elif kind == "grantee":
+            self._apply_grantee(record.grantee)
         elif kind == "whole":
             self._apply_whole(record.whole)
 
@@ -106,6 +115,8 @@
             view, state = view_of(record.view), state_of(record.state)
         if view.epoch <= self.view.epoch:
             return
+        if self.joins(view):
+            self.grantee = ""
         self.view, self.committed, self.written = view, state, None
         self.promised, self.accepted = None, None
         self.newcomer = self.newcomer and not (self.machine is not None and view.accepts(self.machine.id))
@@ -120,6 +131,10 @@
             record.epoch, configuration.version, configuration.body, configuration.digest
         )
 
+    def _apply_grantee(self, record: pb.GranteeRecord) -> None:
+        if record.number > self.grantee_number:
+            self.grantee, self.grantee_number = record.holder, record.number
+
     def _apply_whole(self, record: pb.WholeRecord) -> None:
         self._apply_machine(record.machine)
         self.view = view_of(record.view)
@@ -129,10 +144,16 @@
         self.promised = ballot_of(record.promised) if record.HasField("promised") else None
         self.accepted = proposal_of(record.accepted) if record.HasField("accepted") else None
         self.term = term_of(record.term)
+        self.grantee, self.grantee_number = record.grantee.holder, record.grantee.number
 
     def whole(self) -> pb.Record:
         """One record that replaces all earlier ones."""
-        whole = pb.WholeRecord(view=self.view.message(), committed=self.committed.message(), term=self.term.message())
+        whole = pb.WholeRecord(
+            view=self.view.message(),
+            committed=self.committed.message(),
+            term=self.term.message(),
+            grantee=pb.GranteeRecord(holder=self.grantee, number=self.grantee_number),
+        )
         if self.machine is not None:
             whole.machine.CopyFrom(pb.MachineRecord(machine=machine_of(self.machine), newcomer=self.newcomer))
         if self.written is not None:
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -49,7 +49,7 @@
         self._started = False
         self._last_call = now
         self._told = 0  # sequence of the newest configuration that was told as committed
-        self._grantor = Grantor(context, now + config.timing.lease)
+        self._grantor = Grantor(context, now + config.timing.lease, kept=memory.grantee)
         self._holder = Holder(context, self._grantor)
         self._confirmer = Confirmer(context)
         self._chain = Chain(context, self._confirmer, self._tell_committed)
--- a/tests/fleet/test_coordination_planted.py
+++ b/tests/fleet/test_coordination_planted.py
@@ -34,6 +34,7 @@
     deposed_head_refuses,
     deposed_tail_reads,
     grantors_restart,
+    grantors_restart_after_another_leader,
     head_and_tail_lost_after_the_answer,
     wiped_machine_returns_first,
     write_in_a_sealed_epoch,
@@ -132,6 +133,16 @@
         self.plant(lease.Grantor, "free", lambda self: self.context.now >= self.until)
         self.objects_to("lease", grantors_restart)
 
+    def test_change_of_the_grantee_not_noted(self) -> None:
+        right = memory.Memory._apply_grantee
+
+        def first_only(self: memory.Memory, record: Any) -> None:
+            if not self.grantee:
+                right(self, record)
+
+        self.plant(memory.Memory, "_apply_grantee", first_only)
+        self.objects_to("lease", grantors_restart_after_another_leader)
+
     def test_lease_by_a_clock_that_steps(self) -> None:
         class Stepping(Machine):
             def thaw(self) -> None:
--- a/tests/fleet/test_coordination_schedules.py
+++ b/tests/fleet/test_coordination_schedules.py
@@ -10,6 +10,7 @@
 from tests.fleet.simulation.cluster import Cluster, kind
 from tests.fleet.simulation.world import Machine
 
+LEADS_AGAIN_WITHIN_S = 0.8  # shorter than a leader lease
 ACKNOWLEDGED_WITHIN_S = 4.0
 RECOVERED_WITHIN_S = 3.0
 BACK_IN_CHAIN_WITHIN_S = 2.0
@@ -59,6 +60,24 @@
     cluster.run(1.0)
 
 
+def grantors_restart_after_another_leader(cluster: Cluster) -> None:
+    """A second machine leads, then freezes with a fresh lease; its grantors restart, and the first one is back."""
+    first = cluster.role("leader")
+    first.freeze()
+    cluster.run(3.0)
+    first.thaw()
+    cluster.run(2.0)
+    second = cluster.role("leader")
+    second.freeze()
+    for machine in cluster.machines:
+        if machine is not second:
+            machine.kill()
+            machine.start()
+    cluster.run(3.0)
+    second.thaw()
+    cluster.run(1.0)
+
+
 def write_in_a_sealed_epoch(cluster: Cluster) -> None:
     """All promise for the next view, whose acceptance is held up; meanwhile an order reaches the head."""
     cluster.settle()
@@ -636,6 +655,22 @@
         cluster.run(3.0)
         self.assertIsNotNone(cluster.leader())
 
+    def test_grantors_restart_after_another_leader(self) -> None:
+        for size, seed in itertools.product((3, 4, 5), range(3)):
+            grantors_restart_after_another_leader(Cluster(size, seed))
+
+    def test_last_leader_leads_again_at_once_after_all_were_killed(self) -> None:
+        for size, seed in itertools.product((3, 4, 5, 8), range(3)):
+            cluster = Cluster(size, seed)
+            cluster.settle()
+            leader = cluster.role("leader")
+            for machine in cluster.machines:
+                machine.kill()
+            for machine in cluster.machines:
+                machine.start()
+            self.assertTrue(cluster.run_until(cluster.leader, LEADS_AGAIN_WITHIN_S))
+            self.assertIs(cluster.leader(), leader)
+
     def test_grantors_restart(self) -> None:
         for size, seed in itertools.product((3, 4, 5), range(3)):
             grantors_restart(Cluster(size, seed))
