Simulation: tell how far a long run has come

Cause: a long run that is stopped early told nothing of the seeds that had held. Change: one line for each 250 seeds that held.

--- a/tests/fleet/simulation/__main__.py
+++ b/tests/fleet/simulation/__main__.py
@@ -10,6 +10,8 @@
 
 from tests.fleet.simulation.play import Result, play
 
+PROGRESS = 250  # seeds between two lines
+
 
 def attempt(seed: int) -> Result | tuple[int, str]:
     """Play one seed; a failure is told, with its seed."""
@@ -33,6 +35,8 @@
         for outcome in pool.imap_unordered(attempt, seeds, chunksize=4):
             if isinstance(outcome, Result):
                 results.append(outcome)
+                if len(results) % PROGRESS == 0:
+                    print(f"{len(results)} held, {failed} failed", flush=True)
             else:
                 failed += 1
                 kinds[outcome[1].split(":")[0]] += 1
