--- a/rosechute/coordination/chain.py
+++ b/rosechute/coordination/chain.py
@@ -57,7 +57,7 @@
         self._flight: _Flight | None = None
         self._queue: deque[PendingOrder] = deque()
         self._refusals: list[PendingOrder] = []
-        self._reads: deque[tuple[int, float]] = deque()  # with the time when each came
+        self._reads: deque[tuple[int, float]] = deque()  # with the time when each came; in no order
         self._number = 0  # of the record with the newest write
         self.active = False  # this is the head, and all members have adopted the epoch
 
@@ -298,8 +298,9 @@
         for pending in self._under_way():
             self._answer_late(pending)
         self._queue = deque(pending for pending in self._queue if pending.requests)
-        while self._reads and now - self._reads[0][1] >= context.timing.order_deadline:
-            context.outbox.answer(self._reads.popleft()[0], Unsure())
+        for late in [each for each in self._reads if now - each[1] >= context.timing.order_deadline]:
+            self._reads.remove(late)
+            context.outbox.answer(late[0], Unsure())
         self._advance()
         flight = self._flight
         if flight is not None and now - flight.sent >= flight.wait:
--- a/tests/fleet/test_coordination_schedules.py
+++ b/tests/fleet/test_coordination_schedules.py
@@ -513,6 +513,22 @@
                 self.assertTrue(all(len(each) == 1 for each in reads))
                 self.assertIsInstance(_only(cluster, cluster.read(cluster.role("tail"))), Configuration)
 
+    def test_reads_that_fail_to_be_confirmed_are_answered_in_time(self) -> None:
+        cluster = Cluster(3)
+        cluster.settle()
+        tail, middle = cluster.role("tail"), cluster.role("middle")
+        cluster.world.network.capture(lambda source, target, message: kind(message) in {"confirmed", "accept"})
+        middle.kill()
+        middle.start()  # its restart seals the epoch
+        first = cluster.read(tail)
+        cluster.run(0.7)
+        self.assertTrue(cluster.replica(tail)._context.memory.sealed)
+        second = cluster.read(tail)  # waits for the next view; behind it the first one, once it can't be confirmed
+        cluster.run(0.35)
+        self.assertEqual((first, second), ([Unsure()], []))
+        cluster.run(0.65)
+        self.assertEqual(second, [Unsure()])
+
     def test_same_order_again(self) -> None:
         cluster = Cluster(3)
         head = cluster.role("head")
