Requests wait longer for the leader's tokens where its answers take long

Cause: over a crowded link an answer of the leader takes longer than the 0.12 s after which a request was refused.

Change: silence is borne, and an ask counts as lost, after three times what answers take at present, 0.6 s at most.

--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -18,10 +18,13 @@
 from .rate_lease import LeaseGrant, LeaseReport, RateLease
 
 WAIT_S = 0.25  # a request waits no longer for tokens of a bucket that fills
-WAIT_SILENT_S = 0.12  # where the leader does not answer
+WAIT_SILENT_S = 0.12  # where the leader does not answer; longer where its answers take long
+WAIT_CROWDED_S = 0.6  # but no longer
+ROUNDS_WAITED = 3.0  # times that answers take at present
+ROUND_WEIGHT = 0.2  # of the newest answer in the mean time that answers take
 WAIT_LEADERLESS_S = 0.04  # where no leader is known
 ACCRUAL_WAIT_S = 0.2  # the same, where its lease will cover the request by then
-ANSWER_S = 0.08  # an ask without an answer for so long is lost
+ANSWER_S = 0.08  # an ask without an answer for so long is lost; longer where answers take long
 LEADERLESS_S = 2.0  # a new leader is there after so long
 RETRY_LEAST_S = 0.3  # when to come back where the leader does not answer, at the earliest
 COVERED_LEAST_S = 0.05  # the same, where its lease will cover the request
@@ -126,14 +129,14 @@
         ahead = demand * AHEAD_S
         return int(ahead) if ahead >= AHEAD_REQUESTS * self.request_mean else 0
 
-    def gives_up_at(self, leaderless_s: float | None) -> float:
-        """When the first request that waits is refused."""
+    def gives_up_at(self, leaderless_s: float | None, patience_s: float) -> float:
+        """When the first request that waits is refused; `patience_s` is how long silence of a leader is borne."""
         first = self.waiting[0]
         if leaderless_s is None and self.heard_at >= first.since:
-            return first.since + WAIT_S
+            return first.since + max(WAIT_S, patience_s)
         if self.covers_at(first.tokens) <= first.since + ACCRUAL_WAIT_S:
             return first.since + ACCRUAL_WAIT_S
-        return first.since + (WAIT_SILENT_S if leaderless_s is None else WAIT_LEADERLESS_S)
+        return first.since + (patience_s if leaderless_s is None else WAIT_LEADERLESS_S)
 
     def retry_s(self, now: float, tokens: int, leaderless_s: float | None) -> float:
         """When to come back with a refused request: its lease will cover it, or the leader has tokens or is there."""
@@ -142,10 +145,6 @@
             expected_s = max(RETRY_LEAST_S, LEADERLESS_S - (leaderless_s or 0.0))
         return min(expected_s, max(COVERED_LEAST_S, self.covers_at(tokens) - now))
 
-    def asking(self, now: float) -> bool:
-        """Whether an ask is under way."""
-        return now < self.asked_at + ANSWER_S
-
     def reported(self, now: float) -> bool:
         """Whether the leader is to know of this tenant."""
         self.lease.advance(now)
@@ -176,6 +175,7 @@
     def __init__(self) -> None:
         self._tenants: dict[str, _Tenant] = {}
         self._asks: dict[int, float] = {}  # by request number: when it was sent
+        self._round_s = 0.0  # how long answers take at present
         self._report = 0  # number of the newest report
         self._reported_at = -math.inf  # when it was sent
         self._report_due = -math.inf
@@ -201,7 +201,7 @@
         """What to ask the leader for now, under this request number; nothing where nobody waits."""
         asks: list[Ask] = []
         for name, state in self._tenants.items():
-            if not state.waiting or state.asking(now):
+            if not state.waiting or now < state.asked_at + self._crowded_s(ANSWER_S):
                 continue
             if now < state.dry_until and state.waiting[0].tokens >= state.least:
                 continue
@@ -219,6 +219,7 @@
         sent_at = self._asks.pop(request, None)
         if sent_at is None:
             return []
+        self._round_s += ROUND_WEIGHT * (now - sent_at - self._round_s)
         decisions: list[Decision] = []
         for issue in issues:
             state = self._tenants.get(issue.tenant)
@@ -257,7 +258,7 @@
         decisions: list[Decision] = []
         for state in self._tenants.values():
             decisions += state.serve(now)
-            while state.waiting and now >= state.gives_up_at(leaderless_s):
+            while state.waiting and now >= state.gives_up_at(leaderless_s, self._crowded_s(WAIT_SILENT_S)):
                 waiting = state.waiting.popleft()
                 retry_s = state.retry_s(now, waiting.tokens, leaderless_s)
                 decisions.append(Decision(waiting.decided, False, retry_s))
@@ -275,11 +276,16 @@
         due = math.inf
         for state in self._tenants.values():
             if state.waiting:
-                due = min(due, state.gives_up_at(leaderless_s), state.covers_at(state.waiting[0].tokens))
+                due = min(due, state.gives_up_at(leaderless_s, self._crowded_s(WAIT_SILENT_S)))
+                due = min(due, state.covers_at(state.waiting[0].tokens))
                 if leaderless_s is None:
-                    due = min(due, max(state.asked_at + ANSWER_S, state.dry_until))
+                    due = min(due, max(state.asked_at + self._crowded_s(ANSWER_S), state.dry_until))
         return due
 
+    def _crowded_s(self, least_s: float) -> float:
+        """A time to wait for an answer: longer over a crowded link, where answers take long."""
+        return min(max(least_s, ROUNDS_WAITED * self._round_s), WAIT_CROWDED_S)
+
     def report_due(self, now: float) -> float:
         """When `report` has something to tell; infinity where nothing is demanded or held."""
         if any(state.reported(now) for state in self._tenants.values()):
--- a/tests/fleet/test_distribution_loopback.py
+++ b/tests/fleet/test_distribution_loopback.py
@@ -100,6 +100,8 @@
         for edge in self.edges:
             edge.links.close()
         self.core.server.close()
+        for _ in range(5):
+            await asyncio.sleep(0)  # what was accepted just now ends
 
     async def test_news_reach_both_edges(self) -> None:
         for edge in self.edges:
--- a/tests/fleet/test_distribution_wallet.py
+++ b/tests/fleet/test_distribution_wallet.py
@@ -92,6 +92,19 @@
         self.told.tell(self.wallet.tick(0.12, None))
         self.assertEqual(self.told.decisions, [("a", False, 2.0)])
 
+    def test_where_answers_take_long_silence_is_borne_for_longer(self) -> None:
+        for number in range(1, 31):
+            now = float(number)
+            self.wallet.spend(now, "t", 10, self.told.as_("a"))
+            self.wallet.ask(now, number)
+            self.told.tell(self.wallet.issued(now + 0.15, number, [Issue("t", 10, 1.0, 0.0)]))
+        self.wallet.spend(40.0, "t", 10, self.told.as_("late"))
+        self.wallet.ask(40.0, 31)
+        self.told.tell(self.wallet.tick(40.4, None))
+        self.assertEqual(self.wallet.ask(40.4, 32), [])
+        self.told.tell(self.wallet.issued(40.42, 31, [Issue("t", 10, 1.0, 0.0)]))
+        self.assertEqual(self.told.decisions[-1], ("late", True, 0.0))
+
     def test_a_bucket_that_fills_is_waited_for_longer_than_silence(self) -> None:
         self.wallet.spend(0.0, "t", 50, self.told.as_("a"))
         self.wallet.ask(0.0, 1)
