--- a/rosechute/distribution/values.py
+++ b/rosechute/distribution/values.py
@@ -8,7 +8,7 @@
 import math
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Final
 
 from rosechute.messages import distribution_pb2 as pb
@@ -48,10 +48,12 @@
 
     def same_as(self, other: ListedServer, now: float) -> bool:
         """Whether nothing of note differs."""
-        if replace(self, cold_until=0.0) != replace(other, cold_until=0.0):
-            return False
         mine, theirs = max(self.cold_until, now), max(other.cold_until, now)
-        return abs(mine - theirs) < COLD_TOLERANCE_S
+        return abs(mine - theirs) < COLD_TOLERANCE_S and self._told() == other._told()
+
+    def _told(self) -> tuple[str, str, str, str, int, bool]:
+        """All but the cold time. Every entry of every reading is compared: copies of the entries would cost more."""
+        return (self.id, self.service, self.address, self.zone, self.slots, self.ready)
 
 
 @dataclass(frozen=True, slots=True)
