--- /dev/null
+++ b/benchmarks/fleet_slopes_core.py
@@ -0,0 +1,284 @@
+"""Slopes of the core machines: a configuration, a renewal, a reading of the list, a demand for tokens, a write."""
+
+from __future__ import annotations
+
+import statistics
+import tempfile
+import time
+import zlib
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+
+from benchmarks.fitting import Slope, microseconds
+from benchmarks.fleet_size import SIZE, ZONES, servers, service_name
+from benchmarks.fleet_size import configuration as body_of
+from rosechute.configuration.operator import parse
+from rosechute.configuration.process import Bounds
+from rosechute.control.list_page import read_page
+from rosechute.control.quota_service import QuotaService
+from rosechute.coordination.memory import load, write_message
+from rosechute.coordination.views import State
+from rosechute.data.admission import InForce
+from rosechute.distribution.actions import Dialed
+from rosechute.distribution.membership import SETTLE_S, EdgeIdentity
+from rosechute.distribution.publisher import CoreAddress, Publisher
+from rosechute.distribution.subscriber import Subscriber
+from rosechute.distribution.values import Configuration, decode_configuration
+from rosechute.messages import coordination_pb2
+from rosechute.messages import distribution_pb2 as pb
+from rosechute.standin.fleet.platform import Instance
+from rosechute.storage.files import DiskFolder
+from rosechute.storage.record_store import RecordStore
+
+ROUTES = (50, 200, 800)
+TENANTS = (50, 210, 840)
+MEMBERS = (50, 100, 350, 700, 1400)
+LISTED = (425, 1700, 6800, 13600)
+ASKING = (10, 50, 350, 700)
+DISK_BYTES = (10_000, 100_000, 1_000_000)
+PAGE = 50
+FRAME_BYTES = 5  # before each message
+RENEWALS = 400
+NOW = 1000.0
+
+
+def configuration() -> list[Slope]:
+    """One configuration, by routes at 210 tenants, and by tenants at 200 routes."""
+    found = []
+    for by, sizes, body_for in (
+        ("routes", ROUTES, lambda routes: body_of(routes, SIZE.tenants)),
+        ("tenants", TENANTS, lambda tenants: body_of(200, tenants)),
+    ):
+        found += _configuration_by(by, sizes, body_for)
+    return found
+
+
+def _configuration_by(by: str, sizes: tuple[int, ...], body_for: Callable[[int], bytes]) -> list[Slope]:
+    figures = {
+        "body": Slope("body", "B", by),
+        "sent": Slope("compressed, sent to each edge", "B", by),
+        "read": Slope("core: read and check the order", "us", by),
+        "committed": Slope("core: compress and take over quotas", "us", by),
+        "chain": Slope("core: a chain write, out and in", "us", by),
+        "decode": Slope("edge: take the update", "us", by),
+        "force": Slope("edge: read it and put it in force", "us", by),
+    }
+    for size in sizes:
+        body = body_for(size)
+        value = Configuration.of(1, 1, body)
+        quota = QuotaService(Bounds())
+        write = coordination_pb2.CoreMessage(chain_write=write_message(State(1, 1, 1, body, b"d" * 32)))
+        message = value.message((0, 0), NOW)
+        figures["body"].points[size] = len(body)
+        figures["sent"].points[size] = len(message.SerializeToString())
+        figures["read"].points[size] = microseconds(lambda body=body: parse(body))
+        figures["committed"].points[size] = microseconds(
+            lambda body=body, quota=quota: (Configuration.of(1, 1, body), quota.committed(NOW, body)))
+        figures["chain"].points[size] = microseconds(
+            lambda write=write: coordination_pb2.CoreMessage.FromString(write.SerializeToString()))
+        raw = message.SerializeToString()
+        figures["decode"].points[size] = microseconds(
+            lambda raw=raw: decode_configuration(pb.Distribution.FromString(raw).config))
+        figures["force"].points[size] = microseconds(lambda body=body: InForce(parse(body).unwrap(), 1))
+        assert len(zlib.decompress(value.compressed)) == len(body)
+    return list(figures.values())
+
+
+def _edge(number: int) -> EdgeIdentity:
+    zone = ZONES[number % len(ZONES)]
+    return EdgeIdentity(f"edge-{zone}-{number:04d}", zone, f"10.3.{number // 250}.{number % 250}:7515")
+
+
+def _leader(members: int, listed: int) -> tuple[Publisher, list[Subscriber]]:
+    """A leader with a list and so many members that know everything."""
+    publisher = Publisher(lambda now, request: None)
+    publisher.core([CoreAddress(f"core-{n:08x}", f"10.9.0.{n}:7500", f"10.9.0.{n}:8367") for n in range(8)])
+    publisher.lease_gained(NOW, 1)
+    publisher.committed(NOW, 1, 1, b"{}")
+    publisher.freshness(NOW, 1, 0.1)
+    publisher.servers(NOW, servers(listed))
+    edges = [Subscriber(NOW, _edge(number), number + 1, ["10.9.0.1:7500"]) for number in range(members)]
+    for later in (0.0, SETTLE_S + 0.1, SETTLE_S + 0.6):
+        for number, edge in enumerate(edges):
+            _renew_once(publisher, edge, number, NOW + later)
+    return publisher, edges
+
+
+def _renew_once(publisher: Publisher, edge: Subscriber, number: int, now: float) -> None:
+    """A renewal and all that follows from it between this edge and the leader."""
+    edge._search.renew_now(now)
+    waiting = [action.message for action in edge.tick(now)]
+    while waiting:
+        message = waiting.pop(0)
+        for send in publisher.receive(now, number, message):
+            waiting += [action.message for action in edge.receive(now, Dialed("10.9.0.1:7500"), send.message)
+                        if hasattr(action, "message") and action.message.WhichOneof("body") in ("renew", "fetch")]
+
+
+def renewal() -> list[Slope]:
+    """One renewal, by members: at the leader with its bytes both ways, and at the edge."""
+    steady = Slope("leader: a renewal", "us", "members")
+    changed = Slope("leader: a renewal after a change of the zone's members", "us", "members")
+    expire = Slope("leader: a tick, 25 a second", "us", "members")
+    gone = Slope("leader: a connection that ends", "us", "members")
+    at_edge = Slope("edge: a renewal and its answer", "us", "members")
+    asked, answered = Slope("renewal", "B", "members"), Slope("answer", "B", "members")
+    with_members = Slope("answer with the zone's members", "B", "members")
+    for members in MEMBERS:
+        publisher, edges = _leader(members, SIZE.services)
+        now = NOW + 2.0
+        renew, behind = edges[0]._renew(1), edges[0]._renew(1)
+        behind.renew.members_revision = 0
+        data, data_behind = renew.SerializeToString(), behind.SerializeToString()
+
+        def at_leader(data: bytes, publisher: Publisher = publisher, now: float = now) -> bytes:
+            sends = publisher.receive(now, 0, pb.Distribution.FromString(data))
+            return b"".join(send.message.SerializeToString() for send in sends)
+
+        asked.points[members] = len(data) + FRAME_BYTES
+        answered.points[members] = len(at_leader(data)) + FRAME_BYTES
+        with_members.points[members] = len(at_leader(data_behind)) + FRAME_BYTES
+        steady.points[members] = microseconds(lambda data=data, work=at_leader: work(data))
+        changed.points[members] = microseconds(lambda data=data_behind, work=at_leader: work(data))
+        expire.points[members] = microseconds(lambda publisher=publisher, now=now: publisher.tick(now))
+        gone.points[members] = microseconds(lambda p=publisher, now=now: p.connection_closed(now, "x"))
+        at_edge.points[members] = _at_edge_us(edges[0], publisher, now)
+    return [steady, changed, expire, gone, at_edge, asked, answered, with_members]
+
+
+def _at_edge_us(edge: Subscriber, publisher: Publisher, now: float) -> float:
+    """Microseconds of the edge for a renewal and its answer, without the leader's part."""
+    spent = []
+    for turn in range(RENEWALS):
+        now += 0.4
+        publisher.freshness(now, 1, 0.1)
+        began = time.thread_time_ns()
+        asked = [action.message.SerializeToString() for action in edge.tick(now)]
+        half = time.thread_time_ns() - began
+        answers = [send.message.SerializeToString() for data in asked
+                   for send in publisher.receive(now, 0, pb.Distribution.FromString(data))]
+        began = time.thread_time_ns()
+        for answer in answers:
+            edge.receive(now, Dialed("10.9.0.1:7500"), pb.Distribution.FromString(answer))
+        if turn and len(answers) == 1:
+            spent.append((time.thread_time_ns() - began + half) / 1e3)
+    assert edge.confirmed_at > now - 1.0, "the answers were not taken"
+    return statistics.median(spent)
+
+
+def list_at_leader() -> list[Slope]:
+    """A reading of the list, by servers in 13 services."""
+    page = Slope("a page of 50 entries, read", "us", "page")
+    instances = [Instance(id=one.id, service=one.service, address=one.address, zone=one.zone, slots=one.slots)
+                 for one in servers(PAGE)]
+    raw = msgspec.json.encode({"instances": instances, "next_token": "i-1"})
+
+    def read() -> None:
+        for instance in read_page(raw, "platform").unwrap().instances:
+            instance.listed(NOW)
+
+    page.points[PAGE] = microseconds(read)
+    calls = Slope("calls of a reading", "calls", "servers")
+    same = Slope("leader: a reading without a change", "us", "servers")
+    one = Slope("leader: a reading with one change", "us", "servers")
+    whole, delta = Slope("whole list, all services", "B", "servers"), Slope("one change", "B", "servers")
+    for count in LISTED:
+        publisher, _ = _leader(8, count)
+        listed = servers(count)
+        other = [replace(listed[0], ready=False), *listed[1:]]
+        readings = [other, listed]
+
+        def reading_with_change(publisher: Publisher = publisher, readings: list = readings) -> None:
+            readings.reverse()
+            publisher.servers(NOW + 2.0, list(readings[0]))
+
+        calls.points[count] = -(-count // PAGE)
+        same.points[count] = microseconds(lambda p=publisher, listed=listed: p.servers(NOW + 2.0, listed))
+        one.points[count] = microseconds(reading_with_change)
+        lists = publisher._store.lists()
+        messages = [value.message((0, 0), NOW).SerializeToString() for value in lists]
+        whole.points[count] = sum(len(message) + FRAME_BYTES for message in messages)
+        first = publisher._store.service_list(service_name(0))
+        assert first is not None
+        delta.points[count] = len(first.message(first.base, NOW).SerializeToString()) + FRAME_BYTES
+    return [page, calls, same, one, whole, delta]
+
+
+def quota() -> list[Slope]:
+    """One demand of one tenant's tokens at the leader, by the edges that ask for that tenant, and by tenants."""
+    by_edges = Slope("leader: a demand of one tenant", "us", "edges that ask for it")
+    by_tenants = Slope("leader: a demand, each tenant in turn", "us", "tenants")
+    request_b, issue_b = Slope("demand", "B", "edges that ask for it"), Slope("issue", "B", "edges that ask for it")
+    for edges in ASKING:
+        service = _quota_service(SIZE.tenants)
+        demands = [_demand(f"edge-{ZONES[0]}-{number:04d}", "t-0000") for number in range(edges)]
+        by_edges.points[edges] = _demand_us(service, demands)
+        request_b.points[edges] = len(demands[0]) + FRAME_BYTES
+        issue_b.points[edges] = len(_issue(service, demands[0], NOW)) + FRAME_BYTES
+    for tenants in TENANTS:
+        service = _quota_service(tenants)
+        demands = [_demand("edge-east-1-0000", f"t-{number:04d}") for number in range(tenants)]
+        by_tenants.points[tenants] = _demand_us(service, demands)
+    return [by_edges, by_tenants, request_b, issue_b]
+
+
+def _quota_service(tenants: int) -> QuotaService:
+    service = QuotaService(Bounds(quota_overshoot=0.1, quota_slack=110_000))
+    service.lease_gained(NOW)
+    service.committed(NOW, body_of(13, tenants))
+    return service
+
+
+def _demand(edge: str, tenant: str) -> bytes:
+    request = pb.QuotaRequest(request=1, edge=edge)
+    request.wanted.add(tenant=tenant, tokens=1500, least=400)
+    return pb.Distribution(quota_request=request).SerializeToString()
+
+
+def _issue(service: QuotaService, data: bytes, now: float) -> bytes:
+    issue = service.answer(now, pb.Distribution.FromString(data).quota_request)
+    return pb.Distribution(quota_issue=issue).SerializeToString()
+
+
+def _demand_us(service: QuotaService, demands: list[bytes]) -> float:
+    """All ask in turn, spread evenly over the half second for which a demand that was not met is kept."""
+    clock = [NOW]
+
+    def turn() -> None:
+        for data in demands:
+            clock[0] += 0.5 / len(demands)
+            _issue(service, data, clock[0])
+
+    return microseconds(turn) / len(demands)
+
+
+def storage() -> list[Slope]:
+    """A write of the chain on disk, by the size of the configuration: processor time and wall time with its sync."""
+    append_cpu, append_wall = Slope("append", "us", "B"), Slope("append, wall", "us", "B")
+    replace_cpu, replace_wall = Slope("snapshot", "us", "B"), Slope("snapshot, wall", "us", "B")
+    loading = Slope("load and fold at a start", "us", "B")
+    for size in DISK_BYTES:
+        write = write_message(State(1, 1, 1, b"x" * size, b"d" * 32))
+        record = coordination_pb2.Record(write=write).SerializeToString()
+        with tempfile.TemporaryDirectory(prefix="rosechute-slopes-") as folder:
+            store, _ = RecordStore.open(DiskFolder(folder)).unwrap()
+            replace_cpu.points[size], replace_wall.points[size] = _disk(lambda s=store, r=record: s.replace([r]))
+            append_cpu.points[size], append_wall.points[size] = _disk(lambda s=store, r=record: s.append([[r]]))
+            store.replace([record])
+            loading.points[size] = microseconds(
+                lambda f=folder: load(RecordStore.open(DiskFolder(f)).unwrap()[1]), rounds=3)
+            assert Path(folder).exists()
+    return [append_cpu, append_wall, replace_cpu, replace_wall, loading]
+
+
+def _disk(write: Callable[[], object], times: int = 15) -> tuple[float, float]:
+    """Microseconds of processor time and of wall time."""
+    cpu, wall = time.thread_time_ns(), time.perf_counter_ns()
+    for _ in range(times):
+        write()
+    return (time.thread_time_ns() - cpu) / 1e3 / times, (time.perf_counter_ns() - wall) / 1e3 / times
+
+
