--- a/benchmarks/fleet_capacity.py
+++ b/benchmarks/fleet_capacity.py
@@ -10,6 +10,7 @@
 
 import argparse
 import json
+import math
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, fields, replace
@@ -27,6 +28,7 @@
 RESUBSCRIBE_S = 2.0
 LEASE_LEFT_S = 0.8  # a holder renews every 0.3 s and stops after 1.1 s
 PATIENCE_S = 0.15 + 0.01 * SIZE.edges_a_zone  # after which an edge fetches from the leader
+REPORT_S = 0.45  # between two reports of an edge on its tenants
 READING_S = 0.5  # between two readings
 LEAST_WORTH = 0.1  # ratios that are shown in the table of assumptions
 PREFIX_ENTRIES, SESSION_ENTRIES = 16_384, 4_096  # that a router keeps
@@ -46,7 +48,8 @@
     drain_s: float = 3.0
     event_tokens: float = 6.0
     asks: float = 1.0  # demands for tokens, for each request
-    asking_edges: float = 350.0  # that ask for the same tenant
+    asking_edges: float = 100.0  # that ask for the same tenant within a second
+    reported_s: float = 4.0  # for which a tenant is reported after a request
     release_s: float = 600.0  # for half of a model's servers
     changes_a_restart: float = 3.0  # drains, goes, is back
     rack: float = 40.0  # servers
@@ -69,8 +72,9 @@
     "page": "the platform's pages as they are",
     "drain_s": "the sites that are known",
     "event_tokens": "the sites that are known: 5 and 6",
-    "asks": "tokens last 1 s, an edge has 0.05 requests a second of each tenant",
-    "asking_edges": "requests of a tenant come at every edge",
+    "asks": "tokens last 0.4 s, an edge has 0.05 requests a second of each tenant, stores are too small to be leased",
+    "asking_edges": "17 for one tenant of 210, 300 for one with a fifth of the traffic",
+    "reported_s": "`DEMANDED_S` of the wallet; stands for how the tenants' requests spread, too",
     "release_s": "not told",
     "changes_a_restart": "drains, goes, is back",
     "rack": "not told",
@@ -208,6 +212,7 @@
     request_ms = slopes.each("edge: processor time, requests of one event", "requests a second") / 1e3
     pick_ms = slopes.at("a request through the router", "servers", SIZE.servers_a_service) / 1e3
     ask_b = sum(slopes.at(name, "edges that ask for it", SIZE.edges) for name in ("demand", "issue"))
+    report_b = sum(slopes.at(name, "tenants in it", _reported(assumed)) for name in ("report", "grants"))
     return [
         Need("edge, streams", "processor of events", events * event_ms, assumed.edge_ms_s, "ms/s",
              "one turn an event"),
@@ -215,9 +220,16 @@
              "ordinary path"),
         Need("edge, routing", "processor of picks", requests * pick_ms, assumed.edge_ms_s, "ms/s", "two choices"),
         Need("edge, quota", "bytes of demands", requests * assumed.asks * ask_b, CONTROL_B_S, "B/s", "issued tokens"),
+        Need("edge, quota", "bytes of reports", report_b / REPORT_S, CONTROL_B_S, "B/s", "one message for all"),
     ]
 
 
+def _reported(assumed: Assumed) -> float:
+    """Tenants in an edge's report: those that it had a request of lately, if all tenants ask alike."""
+    requests = SIZE.requests_per_s / SIZE.edges * assumed.reported_s
+    return SIZE.tenants * (1 - math.exp(-requests / SIZE.tenants))
+
+
 def _edge_tables(slopes: Slopes) -> list[Need]:
     mb = 1e6
     prefix = slopes.each("table of shared prefixes, 8 holders each", "prefixes")
@@ -268,12 +280,16 @@
     tick_ms = TICKS_S * slopes.at("leader: a tick, 25 a second", "members", edges) / 1e3
     ask_us = slopes.at("leader: a demand of one tenant", "edges that ask for it", assumed.asking_edges)
     ask_ms = SIZE.requests_per_s * assumed.asks * ask_us / 1e3
+    reports = slopes.at("leader: a report on several tenants, 63 edges each", "tenants in it", _reported(assumed))
+    report_ms = edges / REPORT_S * reports / 1e3
     changed_b = slopes.at("answer with the zone's members", "members", edges)
     return [
         Need("leader, membership", "processor of renewals and ticks", renew_ms + tick_ms, assumed.core_ms_s, "ms/s",
              "lease of 2 s at one machine"),
         Need("leader, membership", "bytes, all edges restarted: members of the zone in each answer, in a second",
              edges * RENEWALS_S * changed_b / 1e6, assumed.link_mb_s, "MB/s", "revision; the zone in the answer"),
+        Need("leader, quota", "processor of reports on rate leases", report_ms, assumed.core_ms_s, "ms/s",
+             "MISSING: a home for each tenant and zone; cost by the report, not by all who hold"),
         Need("leader, quota", "processor of demands", ask_ms, assumed.core_ms_s, "ms/s",
              "one bucket at one machine; cost by the edges that ask"),
     ]
--- a/benchmarks/fleet_slopes_core.py
+++ b/benchmarks/fleet_slopes_core.py
@@ -40,6 +40,9 @@
 LISTED = (425, 1700, 6800, 13600)
 NEW_TERM_MEMBERS = (50, 100, 350)
 ASKING = (10, 50, 350, 700)
+REPORTING = (10, 63, 91, 350)
+REPORTED = (1, 10, 38, 210)
+REPORT_S = 0.45  # between two of an edge
 DISK_BYTES = (10_000, 100_000, 1_000_000)
 PAGE = 50
 FRAME_BYTES = 5  # before each message
@@ -243,26 +246,32 @@
 
 
 def quota() -> list[Slope]:
-    """One demand of one tenant's tokens at the leader, by the edges that ask for that tenant, and by tenants."""
+    """A demand for one tenant's tokens, and a report on tenants, at the leader: by edges, by tenants in a message."""
     by_edges = Slope("leader: a demand of one tenant", "us", "edges that ask for it")
     by_tenants = Slope("leader: a demand, each tenant in turn", "us", "tenants")
     request_b, issue_b = Slope("demand", "B", "edges that ask for it"), Slope("issue", "B", "edges that ask for it")
+    report = Slope("leader: a report on one tenant, granted anew", "us", "edges that report it")
+    message = Slope("leader: a report on several tenants, 63 edges each", "us", "tenants in it")
+    report_b, grant_b = Slope("report", "B", "tenants in it"), Slope("grants", "B", "tenants in it")
     for edges in ASKING:
         service = _quota_service(SIZE.tenants)
         demands = [_demand(f"edge-{ZONES[0]}-{number:04d}", "t-0000") for number in range(edges)]
-        by_edges.points[edges] = _demand_us(service, demands)
+        by_edges.points[edges] = _turn_us(service, demands, 0.5)
         request_b.points[edges] = len(demands[0]) + FRAME_BYTES
-        issue_b.points[edges] = len(_issue(service, demands[0], NOW)) + FRAME_BYTES
+        issue_b.points[edges] = len(_answer(service, demands[0], NOW + 20)) + FRAME_BYTES
     for tenants in TENANTS:
         service = _quota_service(tenants)
-        demands = [_demand("edge-east-1-0000", f"t-{number:04d}") for number in range(tenants)]
-        by_tenants.points[tenants] = _demand_us(service, demands)
-    return [by_edges, by_tenants, request_b, issue_b]
+        by_tenants.points[tenants] = _turn_us(service, [_demand("edge-1", f"t-{n:04d}") for n in range(tenants)], 0.5)
+    for edges in REPORTING:
+        report.points[edges] = _reports_us(edges, 1)[0]
+    for tenants in REPORTED:
+        message.points[tenants], report_b.points[tenants], grant_b.points[tenants] = _reports_us(63, tenants)
+    return [by_edges, by_tenants, request_b, issue_b, report, message, report_b, grant_b]
 
 
 def _quota_service(tenants: int) -> QuotaService:
     service = QuotaService(Bounds(quota_overshoot=0.1, quota_slack=110_000))
-    service.lease_gained(NOW)
+    service.lease_gained(NOW - 10.0, 1)
     service.committed(NOW, body_of(13, tenants))
     return service
 
@@ -273,21 +282,39 @@
     return pb.Distribution(quota_request=request).SerializeToString()
 
 
-def _issue(service: QuotaService, data: bytes, now: float) -> bytes:
+def _answer(service: QuotaService, data: bytes, now: float) -> bytes:
     issue = service.answer(now, pb.Distribution.FromString(data).quota_request)
     return pb.Distribution(quota_issue=issue).SerializeToString()
 
 
-def _demand_us(service: QuotaService, demands: list[bytes]) -> float:
-    """All ask in turn, spread evenly over the half second for which a demand that was not met is kept."""
+def _turn_us(service: QuotaService, messages: list[bytes], spread_s: float) -> float:
+    """Microseconds a message; all in turn, spread evenly over a time."""
     clock = [NOW]
 
     def turn() -> None:
-        for data in demands:
-            clock[0] += 0.5 / len(demands)
-            _issue(service, data, clock[0])
-
-    return microseconds(turn) / len(demands)
+        for data in messages:
+            clock[0] += spread_s / len(messages)
+            _answer(service, data, clock[0])
+
+    return microseconds(turn) / len(messages)
+
+
+def _reports_us(edges: int, tenants: int) -> tuple[float, float, float]:
+    """Microseconds of a report at the leader, with edges that report in turn; bytes of it and of its answer."""
+    service, now, spent, sizes = _quota_service(SIZE.tenants), NOW, [], (0, 0)
+    for turn in range(4 * edges):
+        now += REPORT_S / edges
+        edge = turn % edges
+        request = pb.QuotaRequest(request=turn + 1, edge=f"edge-east-1-{edge:04d}", boot=edge + 1, term=1)
+        for number in range(tenants):
+            request.held.add(tenant=f"t-{number:04d}", rate=900.0, depth=2000.0, stored=1000.0, lifetime_ms=4500,
+                             demand=234.0, request_mean=1700.0)
+        data = pb.Distribution(quota_request=request).SerializeToString()
+        began = time.thread_time_ns()
+        answer = _answer(service, data, now)
+        spent.append((time.thread_time_ns() - began) / 1e3)
+        sizes = (len(data) + FRAME_BYTES, len(answer) + FRAME_BYTES)
+    return statistics.median(spent[2 * edges :]), *sizes
 
 
 def storage() -> list[Slope]:
