--- a/benchmarks/hollow_checks.py
+++ b/benchmarks/hollow_checks.py
@@ -30,6 +30,7 @@
     def add(self, edges: Iterable[Mapping[str, Any]]) -> None:
         """Take a report."""
         for edge in edges:
+            self.began[edge["name"]] = edge["started_at"]
             self.in_force.setdefault(edge["name"], []).extend(tuple(each) for each in edge["configurations"])
             self.backwards += edge["backwards"]
 
--- a/benchmarks/hollow_edges.py
+++ b/benchmarks/hollow_edges.py
@@ -59,6 +59,7 @@
         self.identity = EdgeIdentity(name, zone, f"{ip}:7515")
         self.seen = Seen()
         self.running = False
+        self.started_at = 0.0
         self.sub = Subscriber(time.monotonic(), self.identity, 1, fleet.seeds)
         self.total = 0
         self.listed = (0, 0, 0)
@@ -69,12 +70,13 @@
 
     async def start(self) -> None:
         """Begin a life that knows nothing."""
+        began = time.monotonic()
         self.sub = Subscriber(time.monotonic(), self.identity, random.getrandbits(53) + 1, self.fleet.seeds)
         self.pool = LinkPool(self._dialed, self._dial_closed)
         self.server = LinkServer(self.identity.address, self._accepted, self._accept_closed)
         self._sequence, self._positions, self._servers, self.total, self.listed = 0, {}, {}, 0, (0, 0, 0)
         await self.server.start()
-        self.running = True
+        self.running, self.started_at = True, began
         self._task = asyncio.create_task(self._run())
 
     def stop(self) -> None:
@@ -182,6 +184,7 @@
         seen, self.seen = self.seen, Seen()
         return {
             "name": self.identity.name, "zone": self.identity.zone, "running": self.running, "total": self.total,
+            "started_at": self.started_at,
             "received": seen.received, "sent": seen.sent, "configurations": seen.configurations,
             "backwards": seen.backwards, "list_at": seen.list_at, "without_lease_s": seen.without_lease_s,
             "worst_age_s": seen.worst_age_s, "attached": self.sub.attached, "leader": self.sub.leader,
--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -238,15 +238,8 @@
 
     async def _all_start(self) -> float:
         started = await self.workers.ask(do="start", over_s=self.options.start_s)
-        self._lives(began=min(one["at"] for one in started))
         return max(one["at"] for one in started)
 
-    def _lives(self, began: float, zone: str = "") -> None:
-        for edges in self.workers.told:
-            for edge in edges:
-                if zone in ("", edge["zone"]):
-                    self.log.began[edge["name"]] = began
-
     async def _steady(self) -> float:
         await asyncio.sleep(self.options.steady_s)
         return time.monotonic()
@@ -298,7 +291,6 @@
             await self.core.start(each)
         for one in gone:
             self.list.show(one)
-        self._lives(time.monotonic(), zone)
         await self.workers.ask(do="start", zone=zone, over_s=1.0)
         return time.monotonic()
 
@@ -317,7 +309,6 @@
         """All edges are restarted."""
         self._trouble(6.0)
         await self.workers.ask(do="stop")
-        self._lives(time.monotonic())
         await self.workers.ask(do="start", over_s=1.0)
         return time.monotonic()
 
