Explore the core's replicas exhaustively within bounds, beside the random seeds

Random seeds and forced schedules reach the orders of events that somebody drew or thought of. An order that needs a crash between two particular deliveries, or an old write that comes in a later view, may be in neither.

From a share of the leaves all troubles end, and an order has to be acknowledged within 4 s.

--- /dev/null
+++ b/tests/fleet/exploration/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded exhaustive search over the replicas of the core. See docs/fleet/exploration.md."""
--- /dev/null
+++ b/tests/fleet/exploration/probe.py
@@ -0,0 +1,57 @@
+"""Whether a state can recover: all troubles end, calm time passes, and an order has to be acknowledged."""
+
+from __future__ import annotations
+
+import hashlib
+
+from rosechute.coordination import Acknowledged, Elsewhere, Order, Outcome
+from tests.fleet.exploration.world import Machine, World
+from tests.fleet.simulation.checkers import Violation
+
+RECOVERED_WITHIN_S = 4.0
+SILENCE_S = 1.0  # an operator waits for so long before it asks another machine
+FIRST_REQUEST = 1000
+
+
+def recover(world: World) -> float:
+    """Heal everything and give an order; the time until it is acknowledged. Raises `Violation`."""
+    end_troubles(world)
+    began, request = world.now, FIRST_REQUEST
+    target = 0
+    while world.now - began < RECOVERED_WITHIN_S:
+        machine = world.machines[target % len(world.machines)]
+        request += 1
+        outcome = _ask(world, machine, request)
+        if isinstance(outcome, Acknowledged):
+            return world.now - began
+        target = _number(world, outcome.control_address) if isinstance(outcome, Elsewhere) else target + 1
+    raise Violation("live", f"no order was acknowledged within {RECOVERED_WITHIN_S} s of calm")
+
+
+def end_troubles(world: World) -> None:
+    """Links join, and every machine runs."""
+    world.heal(keep=True)
+    for machine in world.machines:
+        if machine.state.removed:
+            continue
+        if machine.frozen:
+            machine.change(frozen=False, thawed_at=world.now)
+        if not machine.up:
+            machine.start()
+
+
+def _ask(world: World, machine: Machine, request: int) -> Outcome | None:
+    if machine.state.removed:
+        return None
+    line = world.ledger.line
+    base = world.ledger.orders[line[max(line)]].version if line else 0
+    body = f"{base + 1} on {base}, {request}".encode()
+    world.submit(machine, Order(request, base, base + 1, body, hashlib.sha256(body).digest()))
+    for _ in world.calm_moments(SILENCE_S):
+        if request in world.outcomes:
+            break
+    return world.outcomes.pop(request, None)
+
+
+def _number(world: World, control_address: str) -> int:
+    return next(each.number for each in world.machines if each.control == control_address)
