Core: a leaving machine hands over; early, forgotten and late orders are not refused

- A surplus acceptor (a planned replacement is there before the old machine goes) stayed an acceptor until a second after its end.
The next loss in that second left 2 of 4: no majority, for ever.
A process that gets SIGTERM now says so in its heartbeats; where there are more acceptors than are aimed at, the next view leaves it out, and the process ends only once the newest view counts on it no more, or after a second.
- An order on a version that is still on its way (up to eight may be under way) was refused with 412, or with 400 where the version came into force between the check and the answer.
It waits for its base now, and is left unclear where that does not come.
- Of more than 4,096 taken orders the oldest are forgotten, and were refused when they came again.
The versions of taken orders only rise, so an order below the oldest remembered one is left unclear.
- A confirmation that had come in before a freeze let a read of before it be answered after it, with the state of before: a question whose asker has moved on is not confirmed any more.
- The note of a grantee that waits for the next record outlived the adoption of a view that the machine joined anew; after a restart the old holder could have had the lease there at once.
- A member back from a disk that had failed often waits up to 5 s for its place in the chain, longer than `catch_up_s`; where the chain lacks a majority it is taken in at once.

Ruled out: to drop a surplus member that only restarts costs one more view when it is back, no more.

The planted fault of a deposed head that refuses now takes away two guards, as either is enough; that a cut-off head refuses nothing at all is a test of its own.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -35,6 +35,8 @@
 from .replica_runtime import TICK_S, ReplicaRuntime
 
 LOAD_RETRY_S = 0.2
+HAND_OVER_WITHIN_S = 1.0  # for the others to go on without a machine that is about to end
+HAND_OVER_POLL_S = 0.02
 FAREWELL_S = 0.05  # for the last messages to leave before their links are closed
 LATE_TICK_S = 0.5  # a tick so late is worth a line in the log
 
@@ -70,14 +72,13 @@
         self._task = asyncio.create_task(self._run(), name="core machine")
 
     async def stop(self) -> None:
-        """End: tell the others if this machine leads, then close. Records that are under way may be lost."""
+        """End: hand over to the other machines, then close. Records that are under way may be lost."""
         if self._task is not None:
             self._task.cancel()
+        if self._runtime is not None:
+            await self._hand_over(self._runtime)
         if self._next_tick is not None:
             self._next_tick.cancel()
-        if self._runtime is not None:
-            self._runtime.resign()
-            await asyncio.sleep(FAREWELL_S)
         if self._writer is not None:
             self._writer.stop()
         await self._api.stop()
@@ -163,6 +164,14 @@
             logger.warning("records: {}", loaded.failure())
             await asyncio.sleep(LOAD_RETRY_S)
 
+    async def _hand_over(self, runtime: ReplicaRuntime) -> None:
+        """Serve on until no other machine counts on this one; it may be that none can go on without it."""
+        runtime.resign()
+        ends = self._clock() + HAND_OVER_WITHIN_S
+        while not runtime.replica.handed_over and self._clock() < ends:
+            await asyncio.sleep(HAND_OVER_POLL_S)
+        await asyncio.sleep(FAREWELL_S)
+
     def _list_rate(self) -> float:
         return self._settings.cloud_api.rate_per_s
 
--- a/rosechute/coordination/chain.py
+++ b/rosechute/coordination/chain.py
@@ -160,17 +160,27 @@
     def _next(self) -> None:
         """Deal with the orders that wait, until one of them is under way."""
         context = self._context
+        early: list[PendingOrder] = []
         while self.active and context.settled and self._flight is None and self._queue:
             pending = self._queue.popleft()
-            current = context.memory.committed
-            taken = current.version_taken(pending.order.digest)
+            order, current = pending.order, context.memory.committed
+            taken = current.version_taken(order.digest)
             if taken is not None:
                 self._answer(pending, Acknowledged(taken))
-            elif pending.order.base_version != current.version or pending.order.version <= current.version:
+            elif self._early(order):
+                early.append(pending)
+            elif current.may_have_forgotten(order.version):
+                self._answer(pending, Unsure())
+            elif order.base_version != current.version or order.version <= current.version:
                 self._refusals.append(pending)
                 self._confirmer.ask(partial(self._refuse, pending), context.now)
             else:
                 self._start(pending)
+        self._queue.extendleft(reversed(early))
+
+    def _early(self, order: Order) -> bool:
+        """Whether the order that this one builds on may still be on its way."""
+        return order.base_version > self._context.memory.committed.version
 
     def _start(self, pending: PendingOrder) -> None:
         context, order = self._context, pending.order
--- a/rosechute/coordination/confirm.py
+++ b/rosechute/coordination/confirm.py
@@ -58,7 +58,7 @@
             question.yes.add(sender.id)
         if len(question.yes) >= view.majority:
             del self._questions[confirmed.round]
-            question.done(self._context.settled)
+            question.done(self._context.settled and not self._late(question))
 
     def stop(self) -> None:
         """The epoch has changed: no question about the old one is confirmed."""
@@ -70,13 +70,17 @@
         """Repeat questions; give up those that take too long."""
         timing, now = self._context.timing, self._context.now
         for number, question in list(self._questions.items()):
-            if now - question.since >= timing.order_deadline:
+            if self._late(question):
                 del self._questions[number]
                 question.done(False)
             elif now - question.sent >= timing.resend:
                 question.sent = now
                 self._send(number, question)
 
+    def _late(self, question: _Question) -> bool:
+        """Whether whoever asked has moved on: after a freeze the answers may be there before the next tick."""
+        return self._context.now - question.since >= self._context.timing.order_deadline
+
     def _send(self, number: int, question: _Question) -> None:
         for acceptor in self._context.memory.view.acceptors:
             if acceptor.id not in question.yes:
--- a/rosechute/coordination/disk.py
+++ b/rosechute/coordination/disk.py
@@ -51,8 +51,8 @@
         if then is not None:
             self.after(self.number, then)
 
-    def defer(self, record: pb.Record) -> None:
-        """Write a record beside the next one; nothing waits for it. A later call replaces it."""
+    def defer(self, record: pb.Record | None) -> None:
+        """Write a record beside the next one; nothing waits for it. A later call replaces it, by none where None."""
         self._deferred = record
 
     def after(self, number: int, then: Callable[[], None]) -> None:
--- a/rosechute/coordination/heartbeats.py
+++ b/rosechute/coordination/heartbeats.py
@@ -78,4 +78,5 @@
             term=max(memory.term.number, self._holder.term if leads else 0),
             leads=leads,
             newcomer=memory.newcomer,
+            leaving=context.leaving,
         )
--- a/rosechute/coordination/lease.py
+++ b/rosechute/coordination/lease.py
@@ -63,6 +63,7 @@
     def abstain(self) -> None:
         """Grant nothing for one lease: grants may run elsewhere that this machine doesn't know."""
         self.kept = ""
+        self.context.disk.defer(None)  # a note of a grantee in an older view says nothing of the grants in this one
         self.abstain_until = max(self.abstain_until, self.context.now + self.context.timing.lease)
 
     def on_request(self, sender: Identity, boot: int, request: pb.LeaseRequest) -> None:
--- a/rosechute/coordination/membership.py
+++ b/rosechute/coordination/membership.py
@@ -155,7 +155,12 @@
         context = self._context
         detector, view, now = context.detector, context.memory.view, context.now
         usable, restarted, joiners = {context.own.id}, set(), []
+        leaving, returning = set(), set()
         for machine_id, peer in detector.peers.items():
+            if peer.beat.leaving and detector.reaches(now, machine_id):
+                leaving.add(machine_id)
+            if peer.healthy:
+                returning.add(machine_id)
             stays = machine_id in view.chain and peer.healthy
             if stays or detector.settled(now, machine_id):
                 usable.add(machine_id)
@@ -174,6 +179,8 @@
             restarted=restarted,
             joiners=joiners,
             details=self._details,
+            leaving=leaving,
+            returning=returning,
             silent_for=partial(detector.silent_for, now),
             silent_removed=context.timing.silent_removed,
             suspect=context.timing.suspect,
--- a/rosechute/coordination/planning.py
+++ b/rosechute/coordination/planning.py
@@ -27,6 +27,8 @@
     restarted: Collection[str]  # members of the chain that have to adopt a view anew
     joiners: Sequence[Joiner]
     details: Callable[[str], Identity | None]  # newest identity of a machine: the first view knows addresses only
+    leaving: Collection[str]  # acceptors whose processes are about to end
+    returning: Collection[str]  # healthy, but not for long enough: in the chain only where it lacks a majority
     silent_for: Callable[[str], float]
     silent_removed: float
     suspect: float
@@ -77,10 +79,17 @@
             return changed
     if len(view.acceptors) <= view.size:
         return None
+    ending = next((each for each in view.acceptors if each.id in situation.leaving), None)
+    if ending is not None:  # the others need not count on it, neither now nor once it has ended
+        return _without(view, ending)
     longest = max(view.acceptors, key=lambda each: situation.silent_for(each.id))
     if situation.silent_for(longest.id) < situation.silent_removed:
         return None
-    return replace(view, acceptors=tuple(each for each in view.acceptors if each.id != longest.id))
+    return _without(view, longest)
+
+
+def _without(view: View, acceptor: Identity) -> View:
+    return replace(view, acceptors=tuple(each for each in view.acceptors if each.id != acceptor.id))
 
 
 def _join(view: View, joiner: Joiner, situation: Situation) -> View | None:
@@ -108,6 +117,9 @@
     ordered += [each for each in ids if each not in ordered]
     members = [each for each in ordered if each in situation.usable]
     members = _without_conflicts(members, situation)
+    if len(members) < view.majority:
+        members = [each for each in ordered if each in situation.usable or each in situation.returning]
+        members = _without_conflicts(members, situation)
     if len(members) < view.majority or not members:
         return None
     return replace(view, chain=tuple(members))
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -198,6 +198,13 @@
         """Who answers reads."""
         return self.view.tail()
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether the newest view counts on this machine no more: it is out of the chain, and no surplus acceptor."""
+        view = self.view
+        surplus = len(view.acceptors) > view.size
+        return self.identity.id not in view.chain and not (surplus and view.accepts(self.identity.id))
+
     def freshness(self, now: float) -> tuple[int, float] | None:
         """At a moment so many seconds ago, the newest acknowledged sequence was at most this one."""
         return self._freshness.read(now)
--- a/rosechute/coordination/views.py
+++ b/rosechute/coordination/views.py
@@ -176,6 +176,14 @@
             return None
         return int.from_bytes(self.taken[found + DIGEST_BYTES : found + TAKEN_BYTES], "big")
 
+    def may_have_forgotten(self, version: int) -> bool:
+        """Whether an order of this version may have been taken that is not remembered any more.
+
+        The versions of taken orders only rise: none but those below the oldest one that is remembered can be missing.
+        """
+        full = len(self.taken) >= TAKEN_BYTES * TAKEN_ORDERS
+        return full and version < int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
+
     def after(self, epoch: int, version: int, body: bytes, digest: bytes) -> State:
         """The state after one more order."""
         entry = digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0") + version.to_bytes(8, "big")
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -28,7 +28,7 @@
 from rosechute.processes.state import ProcessState
 
 SETTINGS_POLL_S = 1.0
-STOP_WITHIN_S = 0.8
+STOP_WITHIN_S = 1.8  # above what the machine takes to hand over
 EXIT_UNUSABLE = 2  # the settings can't be used, or an address is taken
 
 
--- a/tests/fleet/test_coordination_planted.py
+++ b/tests/fleet/test_coordination_planted.py
@@ -106,6 +106,7 @@
     def test_refusals_of_a_deposed_head(self) -> None:
         self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
         self.plant(chain.Chain, "_cut_off", lambda self: False)
+        self.plant(chain.Chain, "_early", lambda self, order: False)
         self.objects_to("refused", deposed_head_refuses)
 
     def test_sealed_acceptor_goes_on(self) -> None:
