Frames hold the largest order that is let in; loading that fails leaves no open files

- The operator's API takes bodies of up to 8 MiB, a frame between core machines held 8 MiB: an order of nearly that size was stored at the head and never passed on, blocked every order behind it, and once in the state of a promise kept every later view from being decided.
A promise may hold two states, so frames hold 20 MiB.
- Each try to read the records of a disk that refuses left two files open, five times a second.

Both tests failed before: frames of 8,388,647 to 16,976,132 bytes were refused; 21 descriptors more after 20 tries. Not measured: the memory that a state of 8 MiB takes in all.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -158,9 +158,11 @@
         """Load the records in a thread; a disk that hangs doesn't hold up the loop."""
         path = self._settings.data_dir
         while True:
-            loaded = await load_records(DiskFolder(path))
+            folder = DiskFolder(path)
+            loaded = await load_records(folder)
             if not isinstance(loaded, Failure):
                 return loaded.unwrap()
+            folder.close()  # the next try opens its own files
             logger.warning("records: {}", loaded.failure())
             await asyncio.sleep(LOAD_RETRY_S)
 
--- a/rosechute/messages/framing.py
+++ b/rosechute/messages/framing.py
@@ -9,7 +9,7 @@
 import struct
 from dataclasses import dataclass, field
 
-LENGTH_LIMIT_BYTES = 8 * 1024 * 1024
+LENGTH_LIMIT_BYTES = 20 * 1024 * 1024  # a promise may hold two states, each with a configuration of up to 8 MiB
 _HEADER = struct.Struct(">IB")
 
 
