Split the client's request: states, its answer and the server's silence in modules of their own

Now request_state has the states and the transitions that are allowed (checked also under -O), client_answer the one answer of a request and what it takes to join it from several servers, silence the time that a server may say nothing, and request what each event does in each state. Behaviour is unchanged: the tests of the data plane pass but for two import lines and the name of the timer's function.

--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -6,7 +6,8 @@
 import socket
 from dataclasses import replace
 
-from rosechute.data.request import ClientRequest, RequestState
+from rosechute.data.request import ClientRequest
+from rosechute.data.request_state import RequestState
 from rosechute.routing.model import AttemptResult, RoutingAction, Send, ServerEntry
 from tests.fleet.data_site import Call, Script, Site, SiteCase, Talk, configuration, event, plain, route, until_closed
 from tests.fleet.test_data_streams import events, streaming
@@ -345,7 +346,7 @@
             await asyncio.sleep(0.5)
             site.loop._jump.now += 3.5  # type: ignore[attr-defined]
             request, = site.plane.front.requests.values()
-            request._look()  # as on a loop that calls timers before it reads
+            request._silence.look()  # as on a loop that calls timers before it reads
             self.assertIs(request.state, RequestState.PASSING)
             self.assertFalse((await answer).whole)  # its client's time is over
             self.assertEqual(len(site.calls), 1)
--- a/tests/fleet/test_data_terms.py
+++ b/tests/fleet/test_data_terms.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from rosechute.data.request import RequestState
+from rosechute.data.request_state import RequestState
 from tests.fleet.data_site import Call, Site, SiteCase, Talk, configuration, plain, route, until_closed
 
 
