--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -19,15 +19,14 @@
     SERVES_CONTROL,
     SETTINGS_VARIABLE,
     ProcessSettings,
-    load,
     load_from_environment,
     problem_for,
 )
 from rosechute.control.core_machine import CoreMachine
 from rosechute.processes import logs
+from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
 
-SETTINGS_POLL_S = 1.0
 STOP_WITHIN_S = 0.8
 EXIT_UNUSABLE = 2  # the settings can't be used, or an address is taken
 
@@ -37,10 +36,9 @@
 
     def __init__(self, settings: ProcessSettings, path: str) -> None:
         self._settings = settings
-        self._path = path
-        self._read: tuple[int, int] = _version_of(path)
         state = ProcessState(settings)
         self._machine = CoreMachine(settings, state.add_to)
+        self._watch = SettingsWatch(settings, path, self._machine.change_settings)
         state.add("core", self._machine.report)
         self._ends = asyncio.Event()
 
@@ -50,33 +48,16 @@
         loop.set_exception_handler(_report)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ends.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         await self._machine.start()
         gc.freeze()  # what is loaded by now stays: later collections needn't look at it
         gc.enable()
         logger.info("core machine {} listens at {}", self._settings.node_name, self._settings.listen.control)
-        poll = asyncio.create_task(self._poll())
+        watching = asyncio.create_task(self._watch.run())
         await self._ends.wait()
-        poll.cancel()
+        watching.cancel()
         await asyncio.wait_for(self._machine.stop(), STOP_WITHIN_S)
 
-    def reload(self) -> None:
-        """Read the settings file again; one that can't be used changes nothing."""
-        self._read = _version_of(self._path)
-        loaded = load(self._path)
-        if isinstance(loaded, Failure):
-            logger.warning("settings: {}", loaded.failure())
-        elif loaded.unwrap() != self._settings:
-            self._settings = loaded.unwrap()
-            self._machine.change_settings(self._settings)
-            logger.info("settings changed")
-
-    async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
-            if _version_of(self._path) != self._read:
-                self.reload()
-
 
 def main() -> int:
     """Run the program; the exit status."""
@@ -116,14 +97,5 @@
     logger.opt(exception=known).error("loop: {}", context.get("message"))
 
 
-def _version_of(path: str) -> tuple[int, int]:
-    """Changes when the file does."""
-    try:
-        told = os.stat(path)
-    except OSError:
-        return (0, 0)
-    return (told.st_mtime_ns, told.st_size)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -23,7 +23,6 @@
     SERVES_EDGE,
     SETTINGS_VARIABLE,
     ProcessSettings,
-    load,
     load_from_environment,
     problem_for,
     split_address,
@@ -33,13 +32,13 @@
 from rosechute.distribution.values import ListedServer
 from rosechute.processes import logs
 from rosechute.processes.edge_links import EdgeLinks
+from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
 from rosechute.routing.model import ServerEntry
 from rosechute.routing.report import router_report
 from rosechute.routing.router import Router
 from rosechute.routing.tuning import RouterTuning
 
-SETTINGS_POLL_S = 1.0
 READINESS_PATH = "/readiness"
 BACKLOG = 64
 
@@ -49,8 +48,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: ProcessSettings, path: str) -> None:
         self._settings = settings
-        self._path = path
-        self._read = _version_of(path)
+        self._watch = SettingsWatch(settings, path, self._change_settings)
         self._ends = asyncio.Event()
         self._links = EdgeLinks(loop, settings, secrets.randbits(63), self._apply)
         self._failed_sequence = 0  # of a configuration that could not be read
@@ -67,17 +65,17 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ends.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         runner = await self._listen_readiness()
         await self._plane.start()
         await self._links.start()
         logger.info("edge {} takes clients at {}", self._settings.node_name, self._settings.listen.front)
         gc.enable()
         gc.freeze()
-        poll = loop.create_task(self._poll())
+        watching = loop.create_task(self._watch.run())
         await self._ends.wait()
         logger.info("edge {} shuts down", self._settings.node_name)
-        poll.cancel()
+        watching.cancel()
         self._plane.begin_shutdown()
         self._links.leave()
         await self._plane.finish_shutdown()
@@ -88,23 +86,9 @@
         """For the data plane: as of when the configuration in force was the newest one."""
         return -math.inf if self._failed_sequence else self._links.subscriber.confirmed_at
 
-    def reload(self) -> None:
-        """Read the settings file again; one that can't be used changes nothing."""
-        self._read = _version_of(self._path)
-        loaded = load(self._path)
-        if isinstance(loaded, Failure):
-            logger.warning("settings: {}", loaded.failure())
-        elif loaded.unwrap() != self._settings:
-            self._settings = loaded.unwrap()
-            self._plane.apply_settings(self._settings)
-            self._links.change_settings(self._settings)
-            logger.info("settings changed")
-
-    async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
-            if _version_of(self._path) != self._read:
-                self.reload()
+    def _change_settings(self, settings: ProcessSettings) -> None:
+        self._plane.apply_settings(settings)
+        self._links.change_settings(settings)
 
     async def _listen_readiness(self) -> web.AppRunner:
         application = web.Application()
@@ -181,14 +165,5 @@
     return ServerEntry(server.id, server.address, server.zone, server.slots, server.ready, server.cold_until)
 
 
-def _version_of(path: str) -> tuple[int, int]:
-    """Changes when the file does."""
-    try:
-        told = os.stat(path)
-    except OSError:
-        return (0, 0)
-    return (told.st_mtime_ns, told.st_size)
-
-
 if __name__ == "__main__":
     sys.exit(main())
