Report and grant of rate leases: typed once, in seconds, with their messages

LeaseReport and LeaseGrant stood twice, in control/rate_leases.py (milliseconds) and routing/rate_lease.py (seconds), with the conversions in two further modules: a field or unit changed on one side only would have leased more than was reckoned. They stand once now, in routing/lease_exchange.py, which control and routing may both import, with the way they go over the link and the direction in which each time is rounded. What is sent is the same as before; a test holds the rounding.

--- a/rosechute/control/quota.py
+++ b/rosechute/control/quota.py
@@ -20,7 +20,9 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
-from .rate_leases import LEAST_BARE_S, Holder, LeaseGrant, LeaseReport, LeaseTotals, RateLeases
+from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport, milliseconds
+
+from .rate_leases import LEAST_BARE_S, Holder, LeaseTotals, RateLeases
 
 LIFETIME_S = 0.4
 EMERGENCY_SHARE = 0.06  # of what the rules allow beyond rate x window + burst: what new leaders issue in a window
@@ -219,14 +221,14 @@
         deposit = _deposit(bucket, now, grant.depth - report.stored)
         if deposit:
             bucket.take(now, deposit)
-        return replace(grant, deposit=deposit, deposit_ms=_milliseconds(bucket.lifetime_s))
+        return replace(grant, deposit=deposit, deposit_s=bucket.lifetime_s)
 
     def _issue(self, now: float, edge: str, want: Wanted) -> Issued:
         if want.tenant not in self._limits:
-            return Issued(want.tenant, 0, 0, _milliseconds(SHORTEST_RETRY_S))
+            return Issued(want.tenant, 0, 0, milliseconds(SHORTEST_RETRY_S))
         limit = self._limits[want.tenant]
         if limit is None:
-            return Issued(want.tenant, want.tokens, _milliseconds(LIFETIME_S), 0)
+            return Issued(want.tenant, want.tokens, milliseconds(LIFETIME_S), 0)
         bucket = self._bucket(now, want.tenant, limit)
         bucket.asked[edge] = now + ASKED_S
         tokens = _decided(bucket, edge, want)
@@ -234,7 +236,7 @@
             bucket.take(now, tokens)
         self._remember(bucket, now, edge, want, tokens)
         retry_s = 0.0 if tokens >= want.tokens else _retry_s(bucket, edge, max(1, want.least))
-        return Issued(want.tenant, tokens, _milliseconds(bucket.lifetime_s), _milliseconds(retry_s))
+        return Issued(want.tenant, tokens, milliseconds(bucket.lifetime_s), milliseconds(retry_s))
 
     def _bucket(self, now: float, tenant: str, limit: TenantLimit) -> _Bucket:
         bucket = self._buckets.get(tenant)
@@ -306,7 +308,3 @@
     rate = bucket.fill_rate()
     wait = missing / rate if rate > 0 else LONGEST_RETRY_S
     return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait))
-
-
-def _milliseconds(seconds: float) -> int:
-    return int(seconds * 1000.0)
--- a/rosechute/control/quota_service.py
+++ b/rosechute/control/quota_service.py
@@ -7,9 +7,10 @@
 from rosechute.configuration.operator import Configuration, parse
 from rosechute.configuration.process import Bounds
 from rosechute.messages import distribution_pb2 as pb
+from rosechute.routing.lease_exchange import LeaseReport
 
 from .quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
-from .rate_leases import FULL_REACH_S, REACH_S, Holder, LeaseReport
+from .rate_leases import FULL_REACH_S, REACH_S, Holder
 
 
 class QuotaService:
@@ -46,13 +47,9 @@
         issue.term = self._term
         if request.term != self._term:
             return
-        reports = [_report(held) for held in request.held]
+        reports = [LeaseReport.of(held) for held in request.held]
         for grant in self._issuer.renew(now, Holder(request.edge, request.boot), request.request, reports):
-            issue.granted.add(
-                tenant=grant.tenant, rate=grant.rate, depth=grant.depth, lifetime_ms=grant.lifetime_ms,
-                full_ms=grant.full_ms, late_share=grant.late_share,
-                deposit=grant.deposit, deposit_ms=grant.deposit_ms, bare_ms=grant.bare_ms,
-            )
+            issue.granted.append(grant.message())
 
     def _issue(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
         wanted = [Wanted(each.tenant, each.tokens, each.least) for each in request.wanted]
@@ -67,13 +64,6 @@
         return issue
 
 
-def _report(held: pb.RateLease) -> LeaseReport:
-    return LeaseReport(
-        held.tenant, held.rate, held.depth, held.lifetime_ms / 1000.0, held.stored, held.demand, held.request_mean,
-        held.bare_ms / 1000.0,
-    )
-
-
 def _bounds(bounds: Bounds) -> QuotaBounds:
     return QuotaBounds(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
 
--- a/rosechute/control/rate_leases.py
+++ b/rosechute/control/rate_leases.py
@@ -19,6 +19,8 @@
 import math
 from dataclasses import dataclass
 
+from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport
+
 LEASE_S = 5.0  # how long a lease lasts
 DRIFT = 0.01  # by which clocks of two machines may run apart
 FULL_S = 3.0  # of that at the full rate, and from then on at a part of it: the less a new leader has to wait for
@@ -50,35 +52,6 @@
     depth: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseReport:
-    """What an edge holds for a tenant as it sends this, and what its requests demand."""
-
-    tenant: str
-    rate: float  # the full one
-    depth: float
-    remaining_s: float
-    stored: float
-    demand: float  # tokens a second, requests that were refused too
-    request_mean: float  # tokens
-    bare_s: float = 0.0  # nothing is leased to anybody for so long, as the edge was told
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseGrant:
-    """What the edge holds from now on. The deposit goes to its store, from the leader's bucket, unless it is void."""
-
-    tenant: str
-    rate: float
-    depth: float
-    full_ms: int  # at the full rate
-    late_share: float  # of the rate, from then on
-    lifetime_ms: int
-    bare_ms: int = 0  # from the report on, nothing is leased to anybody
-    deposit: int = 0
-    deposit_ms: int = 0  # from the report on; void after this
-
-
 @dataclass(slots=True)
 class _Reckoned:
     """What one holder may hold at most, until when; and its last report's demand."""
@@ -155,9 +128,7 @@
         held = self._holders[holder]
         held.rate, held.granted = max(held.rate, rate), max(held.granted, rate)
         held.depth, held.until = max(held.depth, depth), max(held.until, now + REACH_S)
-        bare_ms = int(self._bare_s(now) * 1000.0)
-        full_ms, lifetime_ms = int(FULL_S * 1000.0), int(LEASE_S * 1000.0)
-        return LeaseGrant(report.tenant, rate, depth, full_ms, LATE_SHARE, lifetime_ms, bare_ms)
+        return LeaseGrant(report.tenant, rate, depth, FULL_S, LATE_SHARE, LEASE_S, bare_s=self._bare_s(now))
 
     def _take(self, now: float, holder: Holder, report: LeaseReport) -> None:
         held = self._holders.get(holder)
--- a/rosechute/processes/quota_client.py
+++ b/rosechute/processes/quota_client.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable
 
 from rosechute.messages import distribution_pb2 as pb
+from rosechute.routing.lease_exchange import LeaseGrant
 from rosechute.routing.quota_wallet import Decided, Decision, Issue, QuotaWallet
-from rosechute.routing.rate_lease import LeaseGrant
 
 LEAST_SLEEP_S = 0.001
 SEEK_S = 0.05  # how often it is looked for a leader, to report to
@@ -52,7 +52,7 @@
             Issue(each.tenant, each.tokens, each.lifetime_ms / 1000.0, each.retry_after_ms / 1000.0)
             for each in issue.issued
         ]
-        grants = [_grant(each) for each in issue.granted]
+        grants = [LeaseGrant.of(each) for each in issue.granted]
         now = self._loop.time()
         _tell(self._wallet.issued(now, issue.request, issues))
         if issue.term:
@@ -104,13 +104,10 @@
         reports = self._wallet.report(now, request)
         if not reports:
             return
-        message = pb.QuotaRequest(request=request, edge=self._name, boot=self._boot, term=self._wallet.term)
-        for report in reports:
-            message.held.add(
-                tenant=report.tenant, rate=report.rate, depth=report.depth, stored=report.stored,
-                lifetime_ms=math.ceil(report.remaining_s * 1000.0), demand=report.demand,
-                request_mean=report.request_mean, bare_ms=int(report.bare_s * 1000.0),
-            )
+        held = [report.message() for report in reports]
+        message = pb.QuotaRequest(
+            request=request, edge=self._name, boot=self._boot, term=self._wallet.term, held=held
+        )
         self._send(pb.Distribution(quota_request=message))
 
     def _ask(self, now: float) -> None:
@@ -122,13 +119,6 @@
         self._send(pb.Distribution(quota_request=pb.QuotaRequest(request=request, edge=self._name, wanted=wanted)))
 
 
-def _grant(granted: pb.RateLease) -> LeaseGrant:
-    return LeaseGrant(
-        granted.tenant, granted.rate, granted.depth, granted.full_ms / 1000.0, granted.late_share,
-        granted.lifetime_ms / 1000.0, granted.deposit, granted.deposit_ms / 1000.0, granted.bare_ms / 1000.0,
-    )
-
-
 def _tell(decisions: Iterable[Decision]) -> None:
     for decision in decisions:
         decision.decided(decision.allowed, decision.retry_after_s)
--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -15,7 +15,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .rate_lease import LeaseGrant, LeaseReport, RateLease
+from .lease_exchange import LeaseGrant, LeaseReport
+from .rate_lease import RateLease
 
 WAIT_S = 0.25  # a request waits no longer for tokens of a bucket that fills
 WAIT_SILENT_S = 0.12  # where the leader does not answer; longer where its answers take long
--- a/rosechute/routing/rate_lease.py
+++ b/rosechute/routing/rate_lease.py
@@ -9,34 +9,7 @@
 import math
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class LeaseReport:
-    """What is held for a tenant, told to the leader."""
-
-    tenant: str
-    rate: float
-    depth: float
-    remaining_s: float
-    stored: float
-    demand: float  # tokens a second
-    request_mean: float
-    bare_s: float  # nothing is leased to anybody for so long, as the leader told
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseGrant:
-    """The leader's answer for one tenant. Times count from when the report was sent."""
-
-    tenant: str
-    rate: float
-    depth: float
-    full_s: float  # at the full rate
-    late_share: float  # of the rate, from then on
-    lifetime_s: float
-    deposit: int
-    deposit_s: float
-    bare_s: float
+from .lease_exchange import LeaseGrant, LeaseReport
 
 
 @dataclass(slots=True)
--- a/tests/fleet/test_quota_leases.py
+++ b/tests/fleet/test_quota_leases.py
@@ -10,19 +10,9 @@
 from rosechute.configuration.process import Bounds
 from rosechute.control.quota import EMERGENCY_SHARE, LEASED_SHARE, QuotaBounds, QuotaIssuer, TenantLimit, Wanted
 from rosechute.control.quota_service import QuotaService
-from rosechute.control.rate_leases import (
-    BARE_S,
-    LEASE_S,
-    REACH_S,
-    Holder,
-    LeaseGrant,
-    LeaseReport,
-    LeaseTotals,
-    RateLeases,
-    fair_level,
-)
+from rosechute.control.rate_leases import BARE_S, LEASE_S, REACH_S, Holder, LeaseTotals, RateLeases, fair_level
 from rosechute.messages import distribution_pb2 as pb
-from rosechute.routing import rate_lease
+from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport
 from rosechute.routing.quota_wallet import QuotaWallet
 from rosechute.routing.rate_lease import RateLease
 
@@ -31,8 +21,8 @@
 CAUTIOUS_TOKENS = (1.0 - LEASED_SHARE) * 1000.0 + EMERGENCY_SHARE * 0.1 * (8.0 * 1000.0 + 1000.0) / 8.0
 
 
-def granted(rate: float, depth: float, deposit: int = 0) -> rate_lease.LeaseGrant:
-    return rate_lease.LeaseGrant("t", rate, depth, 3.0, 0.5, 5.0, deposit, 0.4, 0.0)
+def granted(rate: float, depth: float, deposit: int = 0) -> LeaseGrant:
+    return LeaseGrant("t", rate, depth, 3.0, 0.5, 5.0, deposit, 0.4, 0.0)
 
 
 def report(demand: float, held: LeaseGrant | None = None, remaining_s: float = LEASE_S) -> LeaseReport:
@@ -40,6 +30,15 @@
     return LeaseReport("t", rate, depth, remaining_s if rate else 0.0, 0.0, demand, 10.0)
 
 
+class ExchangeTest(unittest.TestCase):
+    def test_on_the_link_neither_side_believes_in_more_than_the_other(self) -> None:
+        """What the edge still holds is rounded up, what is granted, and a word that is relied on, down."""
+        told = LeaseReport("t", 1.5, 2.5, 3.0004, 0.5, 10.0, 2.0, bare_s=1.0009)
+        self.assertEqual(LeaseReport.of(told.message()), LeaseReport("t", 1.5, 2.5, 3.001, 0.5, 10.0, 2.0, 1.0))
+        grant = LeaseGrant("t", 1.5, 2.5, 3.0009, 0.5, 5.0009, 7, 0.4009, 1.0009)
+        self.assertEqual(LeaseGrant.of(grant.message()), LeaseGrant("t", 1.5, 2.5, 3.0, 0.5, 5.0, 7, 0.4, 1.0))
+
+
 class EdgeLeaseTest(unittest.TestCase):
     def setUp(self) -> None:
         self.lease = RateLease()
@@ -133,7 +132,7 @@
                     held[holder] = (grant, now + LEASE_S)
                 running = [lease for lease, until in held.values() if until > now]
                 self.assertLessEqual(sum(each.depth for each in running), TOTALS.depth + 1e-6)
-                full = [lease for lease, until in held.values() if until - LEASE_S + lease.full_ms / 1e3 > now]
+                full = [lease for lease, until in held.values() if until - LEASE_S + lease.full_s > now]
                 late = sum(each.rate for each in running) - sum(each.rate for each in full)
                 rate = sum(each.rate for each in full) + late * grant.late_share
                 self.assertLessEqual(rate, TOTALS.rate + 1e-6)
@@ -151,17 +150,17 @@
     def test_nothing_is_leased_where_a_store_is_too_small(self) -> None:
         huge = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 2000.0)
         grant = self.leases.report(0.0, self.a, huge)
-        self.assertEqual((grant.rate, grant.bare_ms), (0.0, int(BARE_S * 1000)))
+        self.assertEqual((grant.rate, grant.bare_s), (0.0, BARE_S))
 
     def test_a_word_that_nothing_is_leased_is_kept(self) -> None:
         self.leases.report(0.0, self.a, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 2000.0))
         for step in range(1, 11):
             grant = self.leases.report(step * 0.45, self.a, report(900.0))
-            self.assertEqual((grant.rate, grant.bare_ms), (0.0, 0))
+            self.assertEqual((grant.rate, grant.bare_s), (0.0, 0.0))
         self.assertGreater(self.leases.report(BARE_S, self.a, report(900.0)).rate, 0.0)
 
     def test_no_word_while_leases_may_run(self) -> None:
-        self.assertEqual(RateLeases(TOTALS, 5.0).report(0.0, self.a, report(0.0)).bare_ms, 0)
+        self.assertEqual(RateLeases(TOTALS, 5.0).report(0.0, self.a, report(0.0)).bare_s, 0.0)
 
     def test_the_level_of_equal_parts(self) -> None:
         self.assertEqual(fair_level([10.0, 50.0, 100.0], 90.0), 40.0)
@@ -189,7 +188,7 @@
     def test_the_word_is_passed_on_through_changes_of_leader(self) -> None:
         told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=2.0)
         grant = self.issuer.renew(0.0, Holder("e", 1), 1, [told])[0]
-        self.assertEqual((grant.rate, grant.bare_ms), (0.0, int(BARE_S * 1000)))
+        self.assertEqual((grant.rate, grant.bare_s), (0.0, BARE_S))
         self.issuer.lease_gained(2.0, 5.0, 7.0)
         told = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 500.0, bare_s=3.0)
         self.issuer.renew(2.0, Holder("e", 1), 2, [told])
