A reading of the list counts only for the term in which it began

The reader asked whether its machine holds the leader lease before each call and before the result is used, but not whether it is still the same lease. Order of events: the leader calls for a page; while the call is out (0.7 s at most for each page) it gives its lease up or loses it; another machine leads, reads the list and tells that a server drains; that one gives the lease back, the first machine gains it again, and the answer to its old call comes. It was delivered under the new, higher term, so every edge took the older list over the newer one, and a drained server was used until the next reading. Ruled out: a list told under the old term (edges compare (term, revision)), an answer that waits in the buffers of a frozen process (the lease has run out when it wakes). Now the term held at the start is compared before each call and at the end.

--- a/benchmarks/fleet_list.py
+++ b/benchmarks/fleet_list.py
@@ -37,7 +37,7 @@
         assert len(found) == listed
         whole.append(time.monotonic() - began)
 
-    reader = ListReader(client.fetch, lambda: rate, lambda: True, deliver, random.Random(1).random, time.monotonic)
+    reader = ListReader(client.fetch, lambda: rate, lambda: 1, deliver, random.Random(1).random, time.monotonic)
     try:
         async with asyncio.timeout(seconds):
             await reader.run()
--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -58,7 +58,7 @@
         self._api = OperatorApi(self, settings.listen.control, extend_api)
         self._list_client = ListClient(settings.cloud_api.address)
         self._reader = ListReader(
-            self._list_client.fetch, self._list_rate, self._leads, self._take_list, self._draw, self._clock
+            self._list_client.fetch, self._list_rate, self._held_term, self._take_list, self._draw, self._clock
         )
         self._task: asyncio.Task[None] | None = None
         self._next_tick: asyncio.TimerHandle | None = None
@@ -166,8 +166,10 @@
     def _list_rate(self) -> float:
         return self._settings.cloud_api.rate_per_s
 
-    def _leads(self) -> bool:
-        return self._runtime is not None and self._runtime.replica.is_leader(self._clock())
+    def _held_term(self) -> int | None:
+        """The term for which this machine holds the leader lease at this moment."""
+        leads = self._runtime is not None and self._runtime.replica.is_leader(self._clock())
+        return self._publisher.term if leads else None
 
     def _take_list(self, servers: Sequence[ListedServer]) -> None:
         self._send_all(self._publisher.servers(self._clock(), servers))
--- a/rosechute/control/list_reader.py
+++ b/rosechute/control/list_reader.py
@@ -1,7 +1,8 @@
 """Reads the platform's list of servers while this machine holds the leader lease.
 
-A reading takes all pages. It counts only if the lease holds before each call and before the result is used. The
-list that was read last stays where a reading fails.
+A reading takes all pages. It counts only if the lease has held for one and the same term before each call and when
+the result is used: a machine that led in between may have told a newer list. The list that was read last stays where
+a reading fails.
 """
 
 import asyncio
@@ -31,14 +32,14 @@
         self,
         fetch: Fetch,
         rate_per_s: Callable[[], float],
-        holds_lease: Callable[[], bool],
+        held_term: Callable[[], int | None],
         deliver: Callable[[Sequence[ListedServer]], None],
         draw: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._fetch = fetch
         self._rate_per_s = rate_per_s
-        self._holds_lease = holds_lease
+        self._held_term = held_term  # of the leader lease, while this machine holds it
         self._deliver = deliver
         self._draw = draw
         self._clock = clock
@@ -52,7 +53,7 @@
     async def run(self) -> None:
         """Read until cancelled, whenever this machine holds the lease."""
         while True:
-            if not self._holds_lease():
+            if self._held_term() is None:
                 self._lease.clear()
                 await self._lease.wait()
             try:
@@ -64,21 +65,22 @@
 
     async def step(self) -> float:
         """One reading, if this machine holds the lease. Returns the seconds until the next may begin."""
-        if not self._holds_lease():
+        term = self._held_term()
+        if term is None:
             return 0.0
         began = self._clock()
-        calls, read = await self._read_pages()
+        calls, read = await self._read_pages(term)
         if isinstance(read, Failure):
             self._tell(read.failure())
             return max(RETRY_S * self._jitter(), self._time_of(calls))
-        if not self._holds_lease():
+        if self._held_term() != term:
             return 0.0
         self._failing = False
         self._deliver(read.unwrap())
         wait = max(INTERVAL_S * self._jitter(), self._time_of(calls))
         return max(0.0, wait - (self._clock() - began))
 
-    async def _read_pages(self) -> tuple[int, Result[list[ListedServer], ListProblem]]:
+    async def _read_pages(self, term: int) -> tuple[int, Result[list[ListedServer], ListProblem]]:
         servers: list[ListedServer] = []
         token: str | None = None
         for calls in range(1, MOST_PAGES):
@@ -90,7 +92,7 @@
             token = page.next_token
             if not token:
                 return calls, Success(servers)
-            if not self._holds_lease():
+            if self._held_term() != term:
                 return calls, Failure(ListProblem("read the list", "", "the leader lease ended between two pages"))
         return MOST_PAGES, Failure(ListProblem("read the list", "", "the pages don't end"))
 
--- a/rosechute/distribution/publisher.py
+++ b/rosechute/distribution/publisher.py
@@ -78,6 +78,11 @@
         """Leader or follower."""
         return self._state
 
+    @property
+    def term(self) -> int:
+        """Of the leader lease that was gained last; 0 for none."""
+        return self._term
+
     def edges_total(self, now: float) -> int:
         """Living edges; 0 where it is not known, or this is not the leader."""
         return self._membership.total(now) if self._state is PublisherState.LEADER else 0
--- a/tests/fleet/test_control_list_reader.py
+++ b/tests/fleet/test_control_list_reader.py
@@ -33,6 +33,7 @@
         self.failing = False
         self.broken = False
         self.lease_ends_after_calls = 10**9
+        self.next_term_after_calls = 10**9
         self.call_s = 0.0
         self.now = 100.0
 
@@ -47,8 +48,10 @@
         following = str(number + 1) if number + 1 < self.pages else None
         return Success(Page((Instance(f"i-{number}", "s", f"10.0.0.{number}:1", cold_remaining_ms=500),), following))
 
-    def leads(self) -> bool:
-        return self.calls < self.lease_ends_after_calls
+    def held_term(self) -> int | None:
+        if self.calls >= self.lease_ends_after_calls:
+            return None
+        return 7 if self.calls < self.next_term_after_calls else 9
 
 
 class ListReaderTest(IsolatedAsyncioTestCase):
@@ -59,7 +62,9 @@
         def deliver(servers: Sequence[ListedServer]) -> None:
             self.delivered.append(list(servers))
 
-        return ListReader(platform.fetch, lambda: rate, platform.leads, deliver, lambda: 0.5, lambda: platform.now)
+        return ListReader(
+            platform.fetch, lambda: rate, platform.held_term, deliver, lambda: 0.5, lambda: platform.now
+        )
 
     async def test_all_pages_are_one_list(self) -> None:
         platform = FakePlatform(3)
@@ -97,6 +102,17 @@
             await self.reader(platform).step()
             self.assertEqual((platform.calls, self.delivered), (1, []))
 
+    async def test_a_reading_that_began_in_an_earlier_term_does_not_count(self) -> None:
+        """The lease went to another machine and came back during a call: that machine may have told a newer list."""
+        for pages in (1, 2, 4):
+            platform = FakePlatform(pages)
+            platform.next_term_after_calls = 1
+            reader = self.reader(platform)
+            await reader.step()
+            self.assertEqual((platform.calls, self.delivered), (1, []))
+            await reader.step()
+            self.assertEqual(len(self.delivered.pop()), pages)
+
     async def test_a_failure_keeps_the_last_list_and_is_tried_again_soon(self) -> None:
         platform = FakePlatform()
         platform.failing = True
