A list of an earlier term is given to no subscriber

A core machine keeps the lists of its earlier terms. Told positions and fetches were bound to the term in which a list was read, a subscription was not. Order of events: machine B leads in term 3, reads the list, loses the lease; A leads for any time; an edge that has just started hears from A of a service's list and asks its home; A dies, B gains term 6, the home fails, and the edge subscribes at B before B's first reading: B sent it the list of term 3, however old, and servers that had long gone, or addresses that another service uses by now, were used until the first reading (0.5 s, or as long as the platform is away). Edges that held a newer position were never affected. All three answers now ask one function, _current. The test for subscriptions fails on the code before; those for fetches and told positions hold what was right already.

--- a/rosechute/distribution/publisher.py
+++ b/rosechute/distribution/publisher.py
@@ -23,6 +23,7 @@
     Configuration,
     ListedServer,
     Position,
+    Value,
     advance,
     list_position,
     list_topic,
@@ -210,7 +211,7 @@
         answer.members_term = self._term
         answer.edges_total = self._membership.total(now)
         for value in self._store.lists():
-            if value.position[0] == self._term:
+            if self._current(value.topic) is not None:
                 answer.lists.append(list_position(value.service, value.position))
         if self._membership.settled(now):
             revision = self._membership.revision(renew.edge.zone)
@@ -235,20 +236,28 @@
         topic, held = subscribe.topic, topic_position(subscribe)
         self._fan_out.subscribe(now, topic, subscribe.edge.name)
         sends = self._fan_out.spoke(now, subscribe.edge.name, connection, {topic: held})
+        if self._current(topic) is None:
+            return sends
         return sends + self._fan_out.publish(now, topic, [subscribe.edge.name])
 
     def _fetch(self, now: float, connection: Connection, topic: str) -> list[Send]:
-        value = self._store.get(topic)
+        value = self._current(topic)
         if value is None:
             return []
-        if topic != CONFIG_TOPIC and (self._state is not PublisherState.LEADER or value.position[0] != self._term):
-            return []
         sent = self._fetched.get((connection, topic))
         if sent is not None and sent[0] == value.position and now - sent[1] < FETCH_AGAIN_S:
             return []  # it is on its way on this very connection, which may be slow
         self._fetched[connection, topic] = (value.position, now)
         return [Send(connection, value.message(NOTHING, now))]
 
+    def _current(self, topic: str) -> Value | None:
+        """What this machine may tell of a topic: lists only under the lease, and only those read in its term."""
+        value = self._store.get(topic)
+        if value is None or topic == CONFIG_TOPIC:
+            return value
+        leads = self._state is PublisherState.LEADER
+        return value if leads and value.position[0] == self._term else None
+
     def _quota(self, now: float, connection: Connection, request: pb.QuotaRequest) -> list[Send]:
         if self._state is not PublisherState.LEADER:
             answer = pb.Renewed(leader=self._leader_address or "", core_digest=self._core_digest)
--- a/tests/fleet/test_distribution_orders.py
+++ b/tests/fleet/test_distribution_orders.py
@@ -364,6 +364,40 @@
         self.assertEqual(len(edge.renewals.get(THIRD, [])), asked)
 
 
+class EarlierTermTest(unittest.TestCase):
+    """A machine that leads again holds the lists of its earlier term until it has read the platform's."""
+
+    def setUp(self) -> None:
+        self.publisher = Publisher(lambda at, request: None)
+        self.publisher.lease_gained(0.0, 3)
+        self.publisher.servers(0.1, [server(1)])
+        self.publisher.lease_lost(1.0)
+        self.publisher.lease_gained(60.0, 6)
+
+    def subscribe(self, now: float) -> list[tuple[object, pb.Distribution]]:
+        """By an edge that knows of the topic from another leader, and whose home has failed."""
+        edge = pb.Edge(name="e1", zone="z", address="a")
+        message = pb.Distribution(subscribe=pb.Subscribe(edge=edge, topic="list/model"))
+        return sent(self.publisher.receive(now, "c", message), "list")
+
+    def test_a_list_of_an_earlier_term_is_given_to_no_subscriber(self) -> None:
+        self.assertEqual(self.subscribe(60.1), [])
+
+    def test_a_list_of_an_earlier_term_is_neither_fetched_nor_told(self) -> None:
+        fetch = pb.Distribution(fetch=pb.Fetch(topic="list/model"))
+        self.assertEqual(sent(self.publisher.receive(60.1, "c", fetch), "list"), [])
+        renew = pb.Renew(request=1, edge=pb.Edge(name="e1", zone="z", address="a"), boot=1)
+        answer = self.publisher.receive(60.1, "c", pb.Distribution(renew=renew))
+        self.assertEqual(list(sent(answer, "renewed")[0][1].renewed.lists), [])
+
+    def test_who_subscribed_before_the_first_reading_is_sent_it(self) -> None:
+        renew = pb.Renew(request=1, edge=pb.Edge(name="e1", zone="z", address="a"), boot=1)
+        self.publisher.receive(60.0, "c", pb.Distribution(renew=renew))
+        self.subscribe(60.1)
+        sends = sent(self.publisher.servers(60.5, [server(1), server(2)]), "list")
+        self.assertEqual([message.list.position.term for _, message in sends], [6])
+
+
 class BrokenTest(unittest.TestCase):
     def test_a_body_that_can_not_be_read_changes_nothing(self) -> None:
         edge = AtSubscriber()
