--- a/tests/fleet/test_deploy_files.py
+++ b/tests/fleet/test_deploy_files.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
-SITES = ("harbour-ferries", "valley-registry")
+SITES = ("harbour-ferries", "valley-registry", "canal-transit", "orchard-pharmacies")
 SLOTS = {"quiet", "trouble", "scale"}
 
 
