Pass on no answer that names two requests, and no success marked as not executed

A short 200 is read without the parser where it is whole and plain; there it was enough that one of its X-Rosechute-Request-Id fields named our request, while the parser refuses an answer with more than one. So an answer that names another request beside ours went to the client. And a 200 with X-Rosechute-Not-Executed was refused where it came whole, but passed on where its head came first (streams, long answers).

The attempt now looks itself whether an answer carries the id of its request and no other, whatever reader found it; the mark is asked for in verdict.trusted, by which both ways go. Tests: test_an_answer_with_two_ids_is_none, test_a_success_that_is_marked_as_not_executed_is_none; each fails without its change.

--- a/rosechute/data/attempt.py
+++ b/rosechute/data/attempt.py
@@ -129,12 +129,21 @@
         if reply is None:
             self._end(verdict.RESET if link.wire.touched else verdict.CONNECT_FAILED)
             return
+        if not self._names_this_request(reply):
+            link.wire.abort()
+            self._end(verdict.RESET)
+            return
         if link.wire.written:
             self._servers.release(link, reply)
         else:
             link.wire.abort()  # what is left of the request would follow
         self._end(verdict.of_reply(reply, self.server.id))
 
+    def _names_this_request(self, reply: Reply) -> bool:
+        """Whether an answer carries the id of this request and no other one."""
+        name, expected = self._echo
+        return [value for key, value in reply.headers if key == name] == [expected]
+
     def _end(self, ending: Verdict) -> None:
         if self.state is not AttemptState.OVER:
             self.state = AttemptState.OVER
--- a/rosechute/data/verdict.py
+++ b/rosechute/data/verdict.py
@@ -56,5 +56,7 @@
 
 
 def trusted(reply: Reply) -> bool:
-    """Whether a success is the server's own: stamped, and its body as it was asked for."""
-    return reply.header(STAMP) is not None and reply.header(b"content-encoding") is None
+    """Whether a success is the server's own: stamped, not marked as not executed, its body as it was asked for."""
+    if reply.header(STAMP) is None or reply.header(NOT_EXECUTED) is not None:
+        return False
+    return reply.header(b"content-encoding") is None
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -115,6 +115,46 @@
                 site.close()
         self.play(scene)
 
+    def test_an_answer_with_two_ids_is_none(self) -> None:
+        """Found: a short answer that named another request beside ours was passed on."""
+        async def scene() -> None:
+            for ours_first in (True, False):
+                async def two(talk: Talk, call: Call) -> None:
+                    names = (call.id, "another") if ours_first else ("another", call.id)  # noqa: B023
+                    fields = "".join(f"X-Rosechute-Request-Id: {name}\r\n" for name in names)
+                    head = f"HTTP/1.1 200 OK\r\n{fields}X-Rosechute-Server-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+                    talk.writer.write(head.encode() + b"body")
+
+                site = await Site().start(s1=two)
+                self.assertEqual((await site.ask()).status, 502)
+                await asyncio.sleep(0.1)
+                self.assertEqual(site.plane.servers.find("s1").links, 0)  # type: ignore[union-attr]
+                site.close()
+        self.play(scene)
+
+    def test_a_success_that_is_marked_as_not_executed_is_none(self) -> None:
+        """Found: streams and long answers were passed on that said of themselves that they had not run."""
+        async def scene() -> None:
+            async def marked(talk: Talk, call: Call) -> None:
+                if call.target.startswith("/stream"):
+                    talk.begin("X-Rosechute-Not-Executed: 1")
+                    talk.event(1)
+                    await asyncio.sleep(0.1)
+                    talk.finish()
+                elif call.target.endswith("long"):
+                    talk.writer.write(talk.head(200, "Content-Length: 100000", "X-Rosechute-Not-Executed: 1"))
+                    await asyncio.sleep(0.1)
+                    talk.writer.write(b"x" * 100_000)
+                else:
+                    talk.answer(200, b"x", "X-Rosechute-Not-Executed: 1")
+
+            for path in ("/plain/short", "/plain/long", "/stream/1"):
+                site = await Site().start(s1=marked, s2=marked)
+                self.assertEqual((await site.ask(path)).status, 502, path)
+                self.assertEqual(len(site.calls), 1)
+                site.close()
+        self.play(scene)
+
     def test_a_second_answer_to_one_request_goes_to_nobody(self) -> None:
         async def scene() -> None:
             async def twice(talk: Talk, call: Call) -> None:
