Leave a silent server only where another one may go on in its place

A server that said nothing was left a quarter of the client's patience early (streams that may be resumed), or after four targets (idempotent requests), whether or not another one could be asked: with one server, with every other one full or tried, with max_attempts used up or the retry budget dry, the stream was cut and the request answered 504 although the server would still have answered in time.

Failing before: a resumed stream with a pause of 3.5 s of 4 s (cut at 2.95 s), an idempotent request answered after 3 s of 5 s (504 at 2 s).

--- a/rosechute/data/dispatcher.py
+++ b/rosechute/data/dispatcher.py
@@ -48,6 +48,9 @@
     ) -> list[RoutingAction]:
         """How an attempt ended or went on."""
 
+    def may_go_elsewhere(self, now: float, ticket: Ticket) -> bool:
+        """Whether a request could be sent to another server now if the one that it is at failed it."""
+
     def cancel(self, now: float, ticket: Ticket) -> list[RoutingAction]:
         """Nothing more is wanted for a request."""
 
@@ -79,6 +82,10 @@
         """Tell how an attempt ended or went on."""
         self._perform(self._router.report(self._loop.time(), request.ticket, server_id, result, again))
 
+    def may_go_elsewhere(self, request: ClientRequest) -> bool:
+        """Whether it would be sent to another server now if the one that it is at failed it."""
+        return self._router.may_go_elsewhere(self._loop.time(), request.ticket)
+
     def withdraw(self, request: ClientRequest) -> None:
         """Nothing more is wanted for it."""
         self._perform(self._router.cancel(self._loop.time(), request.ticket))
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -195,6 +195,10 @@
         """Tell the router how an attempt ended or went on."""
         self._dispatcher.report(request, server_id, result, again)
 
+    def may_go_elsewhere(self, request: ClientRequest) -> bool:
+        """Whether the router would send it to another server now if the one that it is at failed it."""
+        return self._dispatcher.may_go_elsewhere(request)
+
     def withdraw(self, request: ClientRequest) -> None:
         """Tell the router that nothing more is wanted for it."""
         self._dispatcher.withdraw(request)
--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -44,6 +44,9 @@
     def report(self, request: ClientRequest, server_id: str, result: AttemptResult, again: bool) -> None:
         """Tell the router how an attempt ended or went on."""
 
+    def may_go_elsewhere(self, request: ClientRequest) -> bool:
+        """Whether the router would send it to another server now if the one that it is at failed it."""
+
     def withdraw(self, request: ClientRequest) -> None:
         """Tell the router that nothing more is wanted for it."""
 
@@ -147,7 +150,7 @@
             return None
         limit = admitted.client_limit if admitted.route.streaming else admitted.hold_limit
         self._change(RequestState.SENT)
-        self._silence.start(self._server_silent)
+        self._silence.start(self)
         left_s = limit - self._loop.time()
         return attempt_wire(admitted, server.id, left_s, self._answer.resume_point(), self.message.body)
 
@@ -196,6 +199,25 @@
         else:
             self._failed(attempt.server, verdict.SERVER_ERROR)
 
+    # --- from the watch over its server
+
+    def may_go_elsewhere(self) -> bool:
+        """See `SilenceOwner`."""
+        if not self.admitted.repeatable or self._body_begun() or not self._time_left():
+            return False
+        return (not self._answer.begun or self._answer.resumable()) and self._context.may_go_elsewhere(self)
+
+    def server_silent(self) -> None:
+        """See `SilenceOwner`."""
+        attempt = self._attempt
+        assert attempt is not None
+        self._drop_attempt()
+        self._last_result, self._may_have_run = AttemptResult.TIMEOUT, True
+        if self.state is RequestState.PASSING:
+            self._stream_broke(attempt.server, AttemptResult.TIMEOUT)
+        else:
+            self._failed(attempt.server, verdict.TIMEOUT)
+
     # --- from the client's connection
 
     def client_left(self) -> None:
@@ -280,11 +302,15 @@
 
     def _may_repeat(self, ending: Verdict) -> bool:
         """Whether it may be sent to another server."""
-        stream = self.message.stream
-        if stream is not None and stream.begun:
-            return False  # what has gone of its body is no longer here
+        if self._body_begun():
+            return False
         return self.admitted.repeatable or not (ending.may_have_run or self._may_have_run)
 
+    def _body_begun(self) -> bool:
+        """Whether part of a body has gone that is not held here: it can't be sent again."""
+        stream = self.message.stream
+        return stream is not None and stream.begun
+
     def _spoilt(self, error: BrokenStream) -> None:
         """What the server sends can't be passed on."""
         attempt = self._attempt
@@ -306,17 +332,6 @@
             self.client_left()
         return self.state is not RequestState.OVER
 
-    def _server_silent(self) -> None:
-        """The server has said nothing for too long."""
-        attempt = self._attempt
-        assert attempt is not None
-        self._drop_attempt()
-        self._last_result, self._may_have_run = AttemptResult.TIMEOUT, True
-        if self.state is RequestState.PASSING:
-            self._stream_broke(attempt.server, AttemptResult.TIMEOUT)
-        else:
-            self._failed(attempt.server, verdict.TIMEOUT)
-
     def _drop_attempt(self) -> None:
         self._silence.stop()
         attempt, self._attempt = self._attempt, None
--- a/rosechute/routing/router.py
+++ b/rosechute/routing/router.py
@@ -204,6 +204,19 @@
         service.repeats.add(request.ticket, request.arrived, request.priority)
         return []
 
+    def may_go_elsewhere(self, now: float, ticket: Ticket) -> bool:
+        """Whether a request could be sent to another server now if the one that it is at failed it after a run."""
+        call = self._calls.get(ticket)
+        service = self._services.get(call.request.service) if call is not None else None
+        if call is None or service is None:
+            return False
+        request = call.request
+        if not request.repeatable or call.runs + 1 >= request.max_attempts:
+            return False
+        if call.sent >= request.max_attempts + SPARE_ATTEMPTS or not service.budget.affords(now):
+            return False
+        return any(server not in call.tried for server in service.pool.room)
+
     def cancel(self, now: float, ticket: Ticket) -> list[RoutingAction]:
         """The client has left. What is out counts as ended; later reports on it are ignored."""
         call = self._calls.pop(ticket, None)
--- a/tests/fleet/test_data_plain.py
+++ b/tests/fleet/test_data_plain.py
@@ -293,6 +293,19 @@
                 site.close()
         self.play(scene)
 
+    def test_a_silent_server_is_kept_while_no_other_one_may_be_asked(self) -> None:
+        """Found: it was left for another one that was not there, and its answer thrown away."""
+        async def scene() -> None:
+            async def late(talk: Talk, call: Call) -> None:
+                await asyncio.sleep(3.0)
+                talk.answer()
+
+            site = await Site().start(s1=late)
+            answer = await site.ask("/again/1")
+            self.assertEqual((answer.status, len(site.calls)), (200, 1))
+            site.close()
+        self.play(scene)
+
     def test_an_answer_to_an_earlier_request_is_never_passed_on(self) -> None:
         async def scene() -> None:
             async def surplus(talk: Talk, call: Call) -> None:
--- a/tests/fleet/test_data_streams.py
+++ b/tests/fleet/test_data_streams.py
@@ -4,10 +4,13 @@
 
 import asyncio
 
+import msgspec
+
 from tests.fleet.data_site import (
     Call,
     Client,
     Script,
+    Server,
     Site,
     SiteCase,
     Talk,
@@ -207,6 +210,52 @@
             site.close()
         self.play(scene)
 
+    def test_a_server_that_falls_silent_is_kept_while_no_other_one_may_go_on(self) -> None:
+        """Found: a stream whose only server paused for long was cut a quarter of its client's patience too early."""
+        async def scene() -> None:
+            async def pauses(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await asyncio.sleep(3.5)  # of the 4 s that its client bears
+                talk.event(2)
+                talk.finish()
+
+            site = await Site().start(s1=pauses)
+            for service_budget in (True, False):
+                if not service_budget:  # another server is there, but a further attempt is not affordable
+                    await site.serve("svc", s1=pauses, s2=pauses)
+                    site.plane._dispatcher.apply_retry_budget(
+                        msgspec.structs.replace(site.settings.bounds, retry_budget_ratio=0.0, retry_slack=0), 1)
+                answer = await site.ask("/resume/1")
+                self.assertEqual((answer.whole, answer.body), (True, events(1, 2)))
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
+    def test_a_silent_server_is_left_as_soon_as_another_one_may_go_on(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=streaming(2, then="silence"))
+            client = await site.client()
+            client.send("/resume/1", deadline=5000)
+            await client.head()
+            for number in (1, 2):
+                self.assertEqual(await client.piece(), event(number))
+            heard = site.loop.time()
+            await asyncio.sleep(3.3)  # a server was wanted from 2.95 s on
+            await self._join(site, "s2", streaming(5))
+            self.assertEqual(await client.piece(), event(3))
+            self.assertLess(site.loop.time() - heard, 4.0)
+            site.close()
+        self.play(scene)
+
+    @staticmethod
+    async def _join(site: Site, name: str, script: Script) -> None:
+        """One more server of the service."""
+        server = Server(site, name, script)
+        await server.start()
+        site.servers[name] = server
+        site.list(*(each.entry for each in site.servers.values()))
+
     def test_a_stream_that_never_begins_is_answered_for_before_its_client_gives_up(self) -> None:
         async def scene() -> None:
             site = await Site().start(s1=until_closed)
