Hand model, token count, prompt prefix, request id and host on whatever Connection names

A client that names a field in its Connection header declares it to be of this connection only, and the edge dropped it. That also took away the fields that servers need from the client: a request without its id is answered 400 or 502 without having run, one without X-Rosechute-Model runs with other headers than its client sent. These five always go on; others are dropped as before. The new test also holds repeated lines in their order, inner white space, bytes beyond ASCII and empty values; it fails without the change (502 in place of 200).

--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -28,6 +28,8 @@
     b"content-length", b"expect", b"priority", b"expect-version", LAST_EVENT_ID, CREDENTIAL, DEADLINE,
     b"x-rosechute-tenant", b"x-rosechute-expect-instance",
 }
+# Headers that servers need as the client sent them: no client can declare one of them to be its connection's.
+END_TO_END = frozenset({b"host", REQUEST_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX})
 _ID = re.compile(rb"[!-~]{1,256}")
 _NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{0,9})?")
 _COUNTS = re.compile(rb"([0-9]{1,9}) *, *([0-9]{1,9})")
@@ -206,7 +208,7 @@
     """The head as servers get it, but for what differs by attempt."""
     dropped = NOT_FORWARDED
     for value in message.all(b"connection"):
-        dropped = dropped | {name.strip().lower() for name in value.split(b",")}
+        dropped = dropped | ({name.strip().lower() for name in value.split(b",")} - END_TO_END)
     lines = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
     lines += [b"%s: %s\r\n" % pair for pair in message.headers if pair[0] not in dropped]
     if message.stream is not None:
--- a/tests/fleet/test_data_plain.py
+++ b/tests/fleet/test_data_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from tests.fleet.data_site import Call, Site, SiteCase, Talk, configuration, plain, route, until_closed
 
@@ -35,6 +36,42 @@
             site.close()
         self.play(scene)
 
+    def test_what_a_server_must_know_goes_on_byte_for_byte(self) -> None:
+        """Found: a client that named these fields in `Connection` had them dropped, its request id included."""
+        async def scene() -> None:
+            site = await Site().start()
+            told = (
+                ("X-Rosechute-Model", "m one"), ("x-ROSECHUTE-token-count", "1460 ,\t80"),
+                ("X-Rosechute-Prompt-Prefix", "5c1e07a2:800,  91bd3f06:410;\xe9"), ("X-Rosechute-Model", "m two"),
+                ("X-Rosechute-Prompt-Prefix", ""),
+            )
+            lines = [f"{name}:  {value} \t" for name, value in told]
+            seen: list[bytes] = []
+            read_head = Talk.read
+
+            async def keep(talk: Talk) -> Call:
+                seen.append(await talk.reader.readuntil(b"\r\n\r\n"))
+                talk.reader._buffer[:0] = seen[-1]  # type: ignore[attr-defined]
+                return await read_head(talk)
+
+            for more in ((), ("Connection: keep-alive, X-Rosechute-Model", "Connection: host,x-rosechute-token-count,"
+                              "x-rosechute-request-id , X-Rosechute-Prompt-Prefix")):
+                with mock.patch.object(Talk, "read", keep):
+                    client = await site.client()
+                    head = [
+                        "POST /plain/1 HTTP/1.1", "Host: app.example", "X-Rosechute-Request-Id: odd",
+                        "X-Rosechute-Credential: k1", *more, *lines, "Content-Length: 0", "", "",
+                    ]
+                    client.writer.write("\r\n".join(head).encode("latin-1"))
+                    self.assertEqual((await client.answer()).status, 200)
+                pairs = [line.split(b": ", 1) for line in seen[-1][:-4].split(b"\r\n")[1:]]
+                for name in ("x-rosechute-model", "x-rosechute-token-count", "x-rosechute-prompt-prefix"):
+                    sent = [value.encode("latin-1") for each, value in told if each.lower() == name]
+                    self.assertEqual([pair[1] for pair in pairs if pair[0].decode() == name], sent)
+                self.assertIn([b"host", b"app.example"], pairs)
+            site.close()
+        self.play(scene)
+
     def test_own_statuses_by_route_key_and_id(self) -> None:
         async def scene() -> None:
             site = await Site().start()
