--- a/tests/fleet/simulation/cluster.py
+++ b/tests/fleet/simulation/cluster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 from rosechute.coordination import Acknowledged, Order, Outcome, Replica, View
@@ -17,9 +17,11 @@
 class Cluster:
     """A world with its history."""
 
-    def __init__(self, size: int = 3, seed: int = 1, judged: Collection[str] | None = None) -> None:
+    def __init__(
+        self, size: int = 3, seed: int = 1, judged: Collection[str] | None = None, compaction: float = 0.0
+    ) -> None:
         self.world = World(seed, size)
-        self.world.compaction = 0.0
+        self.world.compaction = compaction
         self.history = History(self.world, judged)
         self.world.bootstrap()
         self.world.run_until(FORMED_S + (4.0 if size > 5 else 0.0))
@@ -100,6 +102,12 @@
         assert outcomes == [Acknowledged(order.version)], outcomes
         return order
 
+    def restart(self, machines: Iterable[Machine]) -> None:
+        """Kill these processes; each is started again at once on what its disk holds."""
+        for machine in machines:
+            machine.kill()
+            machine.start()
+
     def operate(self, limit: float = 4.0) -> float:
         """An operator gives an order by the rules of its API; the time until it is acknowledged."""
         operator = Operator(self.world, f"operator {self.world.now}", (0.0, 0.0))
