Shutdown: take only what can end in the time that is left

Cause: in the order (1) a stream is under way on a kept connection, (2) SIGTERM, (3) the stream ends, whose head had promised that the connection stays, (4) the client sends its next stream on it at once, the new stream was taken however late it came, sent to a server and cut at the end of grace_s. The same through the platform, which uses all edges of a zone again when fewer than half are ready.

Ruled out: a half-close right behind the last chunk, since the next request may be in the kernel by then and would be read and lost; refusing everything from the signal on, since clients come here for two seconds more.

Change: what comes in, or waits, during the shutdown is sent only if its deadline, its route's timeout or what such requests took lately says that it ends in time; else 503 with Retry-After at once, unrun, connection closed in order.

With the mechanism taken away 6 of the new tests fail.

--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -139,6 +139,12 @@
         )
 
 
+def answer_limit(admitted: Admitted) -> float:
+    """Steady time at which a request is ended at the latest, answered whole or not. A stream that brings events goes
+    on until its client's deadline."""
+    return admitted.client_limit if admitted.route.streaming else admitted.hold_limit
+
+
 def _fields(message: Message) -> dict[bytes, bytes] | None:
     """The headers by name; None where one that decides stands there twice."""
     if message.told is not None:
--- a/rosechute/data/front.py
+++ b/rosechute/data/front.py
@@ -48,6 +48,10 @@
         self.listener.let_in()
         return taken
 
+    def drain(self) -> None:
+        """Let each answer be the last on its connection; later, close what is idle."""
+        self.listener.drain(True)
+
     def resize(self, connections: int) -> None:
         """Another number of connections that clients may hold."""
         self.listener.resize(connections, int(connections * CROWD_SHARE))
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -15,10 +15,11 @@
 from rosechute.configuration.process import ProcessSettings
 from rosechute.data.admission import Admitted, InForce, Refusal
 from rosechute.data.dispatcher import Dispatcher, RouterPort
+from rosechute.data.durations import RouteDurations
 from rosechute.data.front import Front
 from rosechute.data.ports import Freshness, QuotaTokens
 from rosechute.data.report import ClientsReport
-from rosechute.data.request import ClientRequest
+from rosechute.data.request import STOPPING_RETRY_S, ClientRequest
 from rosechute.data.servers import Servers
 from rosechute.data.shutdown import Shutdown
 from rosechute.routing.model import AttemptResult, ServerEntry
@@ -50,6 +51,7 @@
         self.servers = Servers(loop, self.budget, shares.servers)
         self.front = Front(loop, self.budget, shares.clients, self._admit, self._take)
         self._dispatcher = Dispatcher(loop, router, self.servers)
+        self._durations = RouteDurations()
         self._in_force: InForce | None = None
         self._edges = 1
         self._started = loop.time()
@@ -75,7 +77,7 @@
     def begin_shutdown(self) -> None:
         """Be no longer ready, and let each answer be the last on its connection. Told twice, the first one holds."""
         if self._shutdown is None:
-            self._shutdown = Shutdown(self.loop, self.front, self._settings.bounds.grace_s)
+            self._shutdown = Shutdown(self.loop, self.front, self._durations, self._settings.bounds.grace_s)
 
     async def finish_shutdown(self) -> None:
         """Serve on until nothing is open or the time is over."""
@@ -99,6 +101,7 @@
             return
         self._in_force = InForce(configuration, sequence)
         self.front.apply_limits(configuration.limits)
+        self._durations.keep({route.name for route in configuration.routes})
         kept = {service.name for service in configuration.services}
         self._dispatcher.forget_services(kept)
         had = {service.name for service in before.configuration.services} if before is not None else set()
@@ -152,6 +155,8 @@
             return self._not_ready()
         if admitted.service not in self._lists:
             return self._not_ready()
+        if self._shutdown is not None and not self._shutdown.can_finish(admitted):
+            return Refusal(503, STOPPING_RETRY_S)
         return admitted
 
     def _not_ready(self) -> Refusal:
@@ -193,6 +198,8 @@
 
     def report(self, request: ClientRequest, server_id: str, result: AttemptResult, again: bool) -> None:
         """Tell the router how an attempt ended or went on."""
+        if result is AttemptResult.DONE and not again:
+            self._durations.add(request.admitted.route.name, self.loop.time() - request.admitted.arrived)
         self._dispatcher.report(request, server_id, result, again)
 
     def withdraw(self, request: ClientRequest) -> None:
--- a/rosechute/data/shutdown.py
+++ b/rosechute/data/shutdown.py
@@ -4,9 +4,16 @@
 
 import asyncio
 
+from hollyport.core.log import LOG
+from rosechute.data.admission import Admitted, answer_limit
+from rosechute.data.durations import RouteDurations
 from rosechute.data.front import Front
 
 LEAST_S = 2.5  # for so long clients may come that were sent here before the process was seen not to be ready
+ANSWERED_SHARE = 0.9  # of the requests of a route that end within the time for which one is taken
+STREAMED_SHARE = 0.75  # the same of streams: to be refused may cost them as much as to be cut
+STREAMS_EXCUSED_S = 2.5  # from the begin: a stream that arrives later must not be cut
+LONGEST_FACTOR = 3.0  # a stream like that must have this many times as long as the longest of its route took lately
 LAST_CONNECTIONS_S = 0.7  # before the end of the time: no connection is taken any more, and nothing new is sent
 LAST_MOMENT_S = 0.15  # before the end of the time: what is still open is ended
 LET_READ_S = 0.3  # for so long at most clients that had their last answer are waited for
@@ -16,27 +23,64 @@
 class Shutdown:
     """One orderly end, within `grace_s` of its begin."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, front: Front, grace_s: float) -> None:
-        self._loop, self._front = loop, front
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, front: Front, durations: RouteDurations, grace_s: float
+    ) -> None:
+        self._loop, self._front, self._durations = loop, front, durations
         self._begun = loop.time()
         self._end = self._begun + grace_s
-        front.listener.drain(True)
+        self._cut_at = self._end - LAST_MOMENT_S
+        front.drain()
+
+    def can_finish(self, admitted: Admitted) -> bool:
+        """Whether a request that is sent to a server now ends before what is open then is ended.
+
+        Its deadline or its route's timeout makes sure of it. Else it is estimated. An estimate that fails costs an
+        answer of our own, 504, but cuts a stream that has begun: for one that arrives when clients need not come here
+        any more the estimate has a wide margin.
+        """
+        if answer_limit(admitted) <= self._cut_at:
+            return True
+        expected_s = self._expected_s(admitted)
+        return expected_s is not None and self._loop.time() + expected_s <= self._cut_at
+
+    def _expected_s(self, admitted: Admitted) -> float | None:
+        """How long a request takes at the most, by what its route's requests took lately; None where that is not
+        known."""
+        route = admitted.route
+        if not route.streaming:
+            usual_s = self._durations.within_s(route.name, ANSWERED_SHARE)
+            return usual_s if usual_s is not None else route.target_latency_ms / 1e3
+        if admitted.arrived <= self._begun + STREAMS_EXCUSED_S:
+            return self._durations.within_s(route.name, STREAMED_SHARE)
+        longest_s = self._durations.longest_s(route.name)
+        return longest_s * LONGEST_FACTOR if longest_s is not None else None
 
     async def finish(self) -> None:
         """Serve on until nothing is open, and end what is open then."""
         listener = self._front.listener
         while not self._idle():
             now = self._loop.time()
-            if now >= self._end - LAST_MOMENT_S:
+            if now >= self._cut_at:
                 break
             if now >= self._end - LAST_CONNECTIONS_S:
                 self._take_no_more()
+            else:
+                self._refuse_what_comes_too_late()
             await asyncio.sleep(LOOK_S)
         listener.close()
-        for request in list(self._front.requests.values()):
-            request.last_moment()
+        self._end_requests()
         await self._let_read()
 
+    def _end_requests(self) -> None:
+        """End what is open: the time is over."""
+        requests = list(self._front.requests.values())
+        if requests:
+            late = sum(request.admitted.arrived > self._begun for request in requests)
+            LOG.warning("shutdown.cut", requests=len(requests), came_after_the_signal=late)
+        for request in requests:
+            request.last_moment()
+
     async def _let_read(self) -> None:
         """Leave clients the time to read their last answers: what ends with bytes unread takes them along."""
         until = min(self._loop.time() + LET_READ_S, self._end - LOOK_S)
@@ -55,6 +99,12 @@
         listener.close()  # takes what the machine has accepted, and leaves the queue once it is empty
         return not listener.busy()
 
+    def _refuse_what_comes_too_late(self) -> None:
+        """Answer at once what is not at a server and would not end there in time: another edge may serve it."""
+        for request in list(self._front.requests.values()):
+            if not self.can_finish(request.admitted):
+                request.refuse_unsent()
+
     def _take_no_more(self) -> None:
         """Take what the machine has accepted, and answer at once what is not at a server."""
         self._front.refusing = True
--- a/tests/fleet/test_data_shutdown.py
+++ b/tests/fleet/test_data_shutdown.py
@@ -151,6 +151,112 @@
             site.close()
         self.play(scene)
 
+    def test_a_stream_that_comes_late_on_a_kept_connection_is_refused_unrun(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=streaming(35, 0.1))
+            client = await site.client()
+            client.send("/stream/1", deadline=15000)
+            await asyncio.sleep(0.3)
+            ending = asyncio.ensure_future(self.end(site))
+            first = await client.answer()  # its head promised that the connection stays open
+            self.assertEqual((first.whole, first.body), (True, events(1, 35)))
+            self.assertNotEqual(first.headers.get("connection"), "close")
+            begun = site.loop.time()
+            late = await client.ask("/stream/2", deadline=15000)
+            self.assertEqual((late.status, late.headers["connection"]), (503, "close"))
+            self.assertGreater(float(late.headers["retry-after"]), 0.0)
+            self.assertLess(late.at - begun, 0.05)
+            self.assertEqual(await client.ended(), b"")
+            self.assertLess(await ending, 4.0)
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
+    def test_what_ends_by_its_deadline_is_taken_late_too(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=streaming(3, 0.1))
+            await site.serve("other", o1=until_closed)
+            hangs = asyncio.ensure_future(site.ask("/other/1", deadline=3600))  # holds the end up
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(2.7)
+            answers = await asyncio.gather(*(site.ask("/stream/1", deadline=wait) for wait in (1000, 1300)))
+            self.assertEqual([(answer.status, answer.whole) for answer in answers], [(200, True), (503, True)])
+            await hangs
+            await ending
+            site.close()
+        self.play(scene)
+
+    def test_a_stream_that_comes_early_is_taken_if_such_streams_usually_end_in_time(self) -> None:
+        async def scene() -> None:
+            for pause_s, statuses in ((0.1, {200}), (0.5, {503})):  # 1.2 s and 6 s each, of 4 s
+                site = await Site(grace_s=4.0).start(s1=streaming(12, pause_s))
+                await asyncio.gather(*(site.ask("/stream/1", deadline=15000) for _ in range(8)))
+                ending = asyncio.ensure_future(self.end(site))
+                await asyncio.sleep(0.5)
+                answers = await asyncio.gather(*(site.ask("/stream/1", deadline=15000) for _ in range(3)))
+                self.assertEqual({answer.status for answer in answers}, statuses)
+                self.assertTrue(all(answer.whole for answer in answers))
+                await ending
+                site.close()
+        self.play(scene)
+
+    def test_a_late_stream_of_a_route_that_is_always_short_is_taken(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=8.0).start(s1=streaming(3, 0.1))
+            for _ in range(4):
+                await asyncio.gather(*(site.ask("/stream/1", deadline=15000) for _ in range(8)))
+            site.servers["s1"].script = streaming(40, 0.1)
+            long = asyncio.ensure_future(site.ask("/resume/1", deadline=15000))
+            await asyncio.sleep(0.1)
+            ending = asyncio.ensure_future(self.end(site))
+            site.servers["s1"].script = streaming(3, 0.1)
+            await asyncio.sleep(3.5)
+            answers = await asyncio.gather(*(site.ask(path, deadline=15000) for path in ("/stream/1", "/resume/1")))
+            self.assertEqual([answer.status for answer in answers], [200, 503])
+            self.assertTrue((await long).whole)
+            await ending
+            site.close()
+        self.play(scene)
+
+    def test_what_waits_is_refused_as_soon_as_it_would_not_end_in_time(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=streaming(12, 0.1))
+            await asyncio.gather(*(site.ask("/stream/1", deadline=15000) for _ in range(8)))
+            site.quota.held = []
+            waits = asyncio.ensure_future(site.ask("/stream/1", key="m1", deadline=15000))
+            await asyncio.sleep(0.01)
+            begun = site.loop.time()
+            ending = asyncio.ensure_future(self.end(site))
+            answer = await waits
+            self.assertEqual(answer.status, 503)
+            self.assertAlmostEqual(answer.at - begun, 4.0 - 0.15 - 1.2, delta=0.15)
+            site.quota.held[0](True, 0.0)
+            await ending
+            self.assertEqual(len(site.calls), 8)
+            site.close()
+        self.play(scene)
+
+    def test_a_refusal_is_read_whole_by_a_client_that_still_sends_its_body(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=4.0).start(s1=streaming(30, 0.1))
+            await site.serve("other", o1=until_closed)
+            hangs = asyncio.ensure_future(site.ask("/other/1", deadline=20000))  # holds the end up
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(self.end(site))
+            await asyncio.sleep(2.8)
+            client = await site.client()
+            client.send("/stream/1", deadline=15000, body=bytes(200_000))
+            client.writer.write(b"POST /stream/2 HTTP/1.1\r\nHost: app.example\r\n")
+            self.assertEqual((await client.answer()).status, 503)
+            client.writer.write(b"more of what will not be answered")
+            self.assertEqual(await client.reader.read(), b"")  # an end, no reset
+            await hangs
+            await ending
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
     def test_a_second_signal_changes_nothing(self) -> None:
         async def scene() -> None:
             site = await Site().start()
