Simulated distribution: split by concern, over the real core machine, with clocks that differ

distribution_world.py held clock, links, machines, scripted core and checkers in 560 lines, and ran publishers alone. Now: distribution_timeline (events, steady clocks with an offset and a drift of their own), distribution_network (links, cuts), distribution_machines (lives of processes), distribution_checkers, distribution_world (what is scripted). A core machine is the real CoreMachine (list reader, quotas, what it checks before each answer) over a scripted replica; an edge has its real quota client. Nearer to the truth: messages to a frozen process keep their order; what a cut holds up comes after its end, or the connection is given up; cuts that overlap don't end each other; a body is the operator's JSON. New checkers: no older reading of a list under a newer position; no request with a revoked key, as the data plane asks.

--- a/tests/fleet/test_distribution_clusters.py
+++ b/tests/fleet/test_distribution_clusters.py
@@ -7,7 +7,8 @@
 from rosechute.distribution.home_links import FollowState
 from rosechute.distribution.homes import home
 from rosechute.distribution.values import CONFIG_TOPIC, list_topic
-from tests.fleet.distribution_world import Machine, World
+from tests.fleet.distribution_machines import Machine
+from tests.fleet.distribution_world import World, setUpModule, tearDownModule  # noqa: F401
 
 
 def calm(world: World, seconds: float = 6.0) -> World:
@@ -57,16 +58,9 @@
 
     def test_a_service_that_the_new_leader_does_not_find_has_no_servers(self) -> None:
         world = calm(World(seed=4))
-        services = ("listing",)
-        import tests.fleet.distribution_world as module
-
-        former = module.SERVICES
-        try:
-            module.SERVICES = services  # type: ignore[assignment]
-            world.elect(world.core[1])
-            world.run(4.0)
-        finally:
-            module.SERVICES = former
+        world.services = ("listing",)
+        world.elect(world.core[1])
+        world.run(4.0)
         for machine in world.edge:
             assert machine.process is not None
             self.assertEqual(machine.process.list_versions["model"], 0)
@@ -262,7 +256,7 @@
         world.commit()
         world.run(4.0)
         for machine in world.edge:
-            self.assertLess(world.now - world.subscriber(machine).confirmed_at, 1.5)
+            self.assertLess(world.confirmed_age(machine), 1.5)
             self.assertEqual(world.subscriber(machine).position(CONFIG_TOPIC), (0, 2))
 
     def test_the_number_of_edges_follows_starts_and_ends(self) -> None:
--- a/tests/fleet/test_distribution_planted.py
+++ b/tests/fleet/test_distribution_planted.py
@@ -9,7 +9,9 @@
 
 from rosechute.distribution import catch_up, confirmation, home_links, membership, publisher, store, values
 from rosechute.distribution.store import Taken
-from tests.fleet.distribution_world import RuleBroken, World
+from tests.fleet.distribution_checkers import Checkers
+from tests.fleet.distribution_timeline import RuleBroken
+from tests.fleet.distribution_world import World, setUpModule, tearDownModule  # noqa: F401
 from tests.fleet.test_distribution_clusters import calm, home_of, random_day
 
 SEEDS = range(100, 112)
@@ -101,7 +103,7 @@
         with (
             mock.patch.object(catch_up.CatchUp, "told", lambda self, *told: None),
             mock.patch.object(home_links.HomeLinks, "_to_direct", wait_for_ever),
-            mock.patch.object(World, "_check_fresh", lambda self, process: None),  # it would be the first to find it
+            mock.patch.object(Checkers, "_check_fresh", lambda self, process: None),  # it would find it first
         ):
             self.found(play, "in force")
 
