Hear a machine again whose ended process was taken for its successor

Boots are drawn at random, so a receiver orders two processes of a machine by what arrives first. Order of events: receiver B restarts behind a cut; sender A's heartbeats to the new B are held up; A is killed (its connection is closed in order, the kernel still delivers it) and started again; after the cut A's successor is heard first, then the late bytes. B took the ended process for a newer one, noted the running one as ended, and ignored A for ever: no answer of A counted, A stayed outside of the chain or its members in conflict, and the next loss left no majority that reach each other. Only another restart ended it.

A process noted as ended counts again once it answers a stamp that no process of that machine has answered: the one that runs goes on answering, what the other one has answered has a bound. Ruled out: a boot counter on disk (one more sync before the first message), the sender's clock (starts anew with the machine).

--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -27,6 +27,7 @@
     heard: float  # when its newest heartbeat came
     echo: float  # newest stamp of ours that it has sent back
     answered: float  # the same, moved by the time for which this machine did not run
+    newest_echo: float = NEVER  # over all boots
     healthy: bool = False
     healthy_since: float = 0.0
     removals: list[float] = field(default_factory=list)  # times when it was taken out of the chain
@@ -49,21 +50,31 @@
         peer = self.peers.get(identity.id)
         if peer is None:
             peer = self.peers[identity.id] = Peer(identity, boot, beat, now, NEVER, NEVER)
-        elif boot in peer.past_boots:
+        elif boot in peer.past_boots and not self._outlives(peer, beat):
             return peer  # a late one of a process that has ended
         elif boot != peer.boot:
             peer.past_boots.add(peer.boot)
+            peer.past_boots.discard(boot)
             peer.boot, peer.healthy = boot, False
             peer.echo = peer.answered = NEVER
         elif beat.stamp < peer.beat.stamp:
             return peer  # overtaken by a newer one
         peer.identity, peer.beat, peer.heard = identity, beat, now
         if beat.echo_boot == self.boot and beat.echo <= now:
+            peer.newest_echo = max(peer.newest_echo, beat.echo)
             peer.echo = max(peer.echo, beat.echo)
             peer.answered = max(peer.answered, beat.echo)
         self._judge(now, peer)
         return peer
 
+    def _outlives(self, peer: Peer, beat: pb.Heartbeat) -> bool:
+        """Whether a process that was taken for an earlier one answers what no process of that machine has answered.
+
+        Bytes of a process that has ended may arrive after those of its successor, which then seems to have ended. The
+        one that runs goes on answering; what the other has answered has a bound.
+        """
+        return beat.echo_boot == self.boot and beat.echo > peer.newest_echo
+
     def awoke(self, gap: float) -> None:
         """This machine had not run for a while: that time counts for nobody's silence."""
         for peer in self.peers.values():
