Sync the name of a new slot file; the simulated disk keeps no name by a file's sync

Ruled out: the log's file, whose name is synced by the first append (_begin_log marks it), and a store that was opened.

--- a/rosechute/storage/record_store.py
+++ b/rosechute/storage/record_store.py
@@ -74,6 +74,7 @@
         target = 1 - self._slot
         self._generation += 1  # also after a failure: no two different slots ever carry the same generation
         self._appendable = False
+        self._names_durable = False  # the slot may be a new file, whose name its own sync does not keep
         data, checksum = encode_slot(self._generation, records)
         try:
             self._folder.write(SLOT_NAMES[target], 0, data)
--- a/tests/fleet/simulated_disk.py
+++ b/tests/fleet/simulated_disk.py
@@ -62,7 +62,7 @@
             raise OSError(errno.EIO, "Input/output error")
         if not self.skip_syncs:
             file = self.files[name]
-            file.durable, file.pending, file.name_durable = file.current(), [], True
+            file.durable, file.pending = file.current(), []  # the name of a new file needs a sync of its own
 
     def sync_names(self) -> None:
         self._step()
