Plant faults systematically: a tool that finds and plants them, and direct tests of each part

The tool plants such faults one at a time into a scratch copy of the tree, by the syntax tree: conditions dropped and turned, operands and fields left out, syncs not awaited, epochs, terms and sequences not compared, margins zero, a value taken in place of the greatest. It runs the tests that concern the module up to the first failure.

The parts of the coordination (acceptor, proposer, membership, memory, disk, leases, detector, freshness, confirmations, chain, planning, replica) and of the storage get direct tests, each named after its mechanism.

--- /dev/null
+++ b/tests/fleet/coordination_parts.py
@@ -0,0 +1,166 @@
+"""One core machine's parts without a cluster: a context in a known state, its disk and the messages it sends."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from rosechute.coordination.context import Context
+from rosechute.coordination.detector import Detector
+from rosechute.coordination.disk import Disk
+from rosechute.coordination.memory import Memory
+from rosechute.coordination.outbox import Outbox
+from rosechute.coordination.types import Action, Answer, Identity, Order, Outcome, Persist, Send, Timing
+from rosechute.coordination.views import Ballot, Proposal, State, Term, View, machine_of
+from rosechute.messages import coordination_pb2 as pb
+
+NOW = 1000.0
+OWN_BOOT = 7
+EPOCH = 3
+DIGEST = b"D" * 32
+TAKEN = b"D" * 16 + (50).to_bytes(8, "big")
+
+
+def identity(name: str) -> Identity:
+    """The machine of this id."""
+    return Identity(name, f"name-{name}", f"zone-{name}", f"{name}:8367", f"{name}:7500")
+
+
+def view(members: str = "abc", epoch: int = EPOCH, chain: str | None = None, **fields: Any) -> View:
+    """A view whose acceptors have ids of one letter."""
+    fields.setdefault("size", len(members))
+    fields.setdefault("base_tag", (epoch, 0))
+    return View(epoch, tuple(map(identity, members)), tuple(members if chain is None else chain), **fields)
+
+
+def state(sequence: int = 5, epoch: int = EPOCH, version: int = 50) -> State:
+    """A state some orders after the start."""
+    return State(epoch, sequence, version, b"body %d" % version, DIGEST, TAKEN)
+
+
+def ballot(round: int, proposer: str = "b", boot: int = 8) -> Ballot:
+    """A ballot of another machine."""
+    return Ballot(round, proposer, boot)
+
+
+def proposal(round: int, proposer: str = "b", epoch: int = EPOCH + 1, sequence: int = 5) -> Proposal:
+    """A proposal for the view that follows."""
+    return Proposal(ballot(round, proposer), view(epoch=epoch), state(sequence, epoch))
+
+
+class Parts:
+    """A machine, by default the head of three, that adopted its epoch and has synced everything."""
+
+    def __init__(self, own: str = "a", members: str = "abc", chain: str | None = None) -> None:
+        self.own = identity(own)
+        self.memory = Memory(machine=self.own)
+        self.memory.view = view(members, chain=chain)
+        self.memory.committed = state()
+        self.timing = Timing()
+        self.disk = Disk(self.timing, self.memory)
+        self.outbox = Outbox(self.own, OWN_BOOT)
+        self.detector = Detector(self.own, OWN_BOOT, self.timing, NOW - 60.0)
+        self.context = Context(
+            own=self.own,
+            boot=OWN_BOOT,
+            timing=self.timing,
+            draw=lambda: 0.5,
+            now=NOW,
+            memory=self.memory,
+            disk=self.disk,
+            outbox=self.outbox,
+            detector=self.detector,
+            joined=EPOCH,
+            adopted=EPOCH,
+        )
+        for each in members:
+            if each != own:
+                self.hear(each)
+
+    @property
+    def now(self) -> float:
+        return self.context.now
+
+    def pass_time(self, seconds: float, hearing: str = "") -> None:
+        """Time passes; from these machines a heartbeat comes at its end."""
+        self.context.now += seconds
+        for each in hearing:
+            self.hear(each)
+
+    def hear(self, name: str, **fields: Any) -> None:
+        """A heartbeat of another machine, which has answered the newest one of this."""
+        boot = fields.pop("boot", 8)
+        beat: dict[str, Any] = {
+            "stamp": self.now,
+            "epoch": EPOCH,
+            "sequence": 5,
+            "committed": 5,
+            "joined": True,
+            "healthy": True,
+            "lease_free": True,
+            "reached": ["a", "b", "c"],
+            "echo": self.now,
+            "echo_boot": OWN_BOOT,
+        }
+        self.detector.heard(self.now, identity(name), boot, pb.Heartbeat(**(beat | fields)))
+
+    def sync(self) -> list[pb.Record]:
+        """The disk syncs what is to be written; the records."""
+        written: list[pb.Record] = []
+        while (persist := self.flush()) is not None:
+            written += [pb.Record.FromString(data) for data in persist.records]
+            self.disk.persisted(self.now, persist.token)
+        return written
+
+    def flush(self) -> Persist | None:
+        return self.disk.flush(self.now)
+
+    def reload(self) -> Memory:
+        """What a later process would find, by the whole state alone."""
+        found = Memory()
+        found.apply(self.memory.whole())
+        return found
+
+    def seal(self, round: int = 1) -> None:
+        """Another machine has a promise for the next view."""
+        self.memory.promised = ballot(round)
+
+    # What was done
+
+    def actions(self) -> list[Action]:
+        """All actions since the last look; messages to this machine are dropped."""
+        self.outbox.local.clear()
+        return self.outbox.take()
+
+    def messages(self, kind: str) -> list[tuple[str, Any]]:
+        """Target and message for each of a kind since the last look, this machine as a target included."""
+        found = [(each.address[0], each.message) for each in self.outbox.actions if isinstance(each, Send)]
+        found += [(self.own.id, message) for message in self.outbox.local]
+        self.actions()
+        return [(to, getattr(message, kind)) for to, message in found if message.WhichOneof("body") == kind]
+
+    def sent(self, kind: str) -> list[Any]:
+        """The messages of a kind since the last look."""
+        return [message for _, message in self.messages(kind)]
+
+    def sent_to(self, kind: str) -> list[str]:
+        """To whom messages of a kind went since the last look."""
+        return [target for target, _ in self.messages(kind)]
+
+    def answers(self) -> list[tuple[int, Outcome]]:
+        """The answers to operators since the last look."""
+        return [(each.request, each.outcome) for each in self.actions() if isinstance(each, Answer)]
+
+
+def order(request: int, base: int = 50, version: int = 51, note: bytes = b"") -> Order:
+    """An order of an operator; another note makes it another order."""
+    return Order(request, base, version, b"body" + note, (b"%d on %d" % (version, base) + note).ljust(32, b"-"))
+
+
+def machine(name: str) -> pb.Machine:
+    """The message for a machine."""
+    return machine_of(identity(name))
+
+
+def term(number: int, holder: str = "b", boot: int = 8) -> Term:
+    """A term of another machine."""
+    return Term(number, holder, boot)
--- /dev/null
+++ b/tests/fleet/planted_faults/areas.py
@@ -0,0 +1,111 @@
+"""Which sources are planted in, and which tests concern them."""
+
+from __future__ import annotations
+
+import fnmatch
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+TESTS = "tests/fleet"
+PACKAGE = "tests.fleet."
+
+
+@dataclass(frozen=True, slots=True)
+class Area:
+    """Sources and test modules, both by patterns; test modules that come first are run first."""
+
+    name: str
+    sources: Sequence[str]
+    tests: Sequence[str]
+    slow: Sequence[str] = ()  # of these tests, those that `--quick` leaves out
+
+    def paths(self, root: Path) -> list[str]:
+        """The source files, from the root of the tree."""
+        found = {str(path.relative_to(root)) for pattern in self.sources for path in root.glob(pattern)}
+        return sorted(path for path in found if not path.endswith(("__init__.py", "_pb2.py")))
+
+    def test_modules(self, root: Path, quick: bool = False) -> list[str]:
+        """The dotted names of the test modules; the quick ones only, where these are asked for."""
+        names = sorted(path.stem for path in (root / TESTS).glob("test_*.py"))
+        found: list[str] = []
+        for pattern in self.tests:
+            found += [name for name in names if fnmatch.fnmatch(name, pattern) and name not in found]
+        # These plant faults of their own, to show that the simulations' checks object to them.
+        found = [name for name in found if not name.endswith("_planted")]
+        if quick:
+            found = [name for name in found if not any(fnmatch.fnmatch(name, pattern) for pattern in self.slow)]
+        return [f"{PACKAGE}{name}" for name in found]
+
+
+# Fast and direct ones first.
+AREAS = (
+    Area(
+        "coordination",
+        ["rosechute/coordination/*.py"],
+        [
+            "test_planted_coordination*",
+            "test_coordination_calm",
+            "test_coordination_worst_days",
+            "test_coordination_schedules",
+            "test_coordination_snapshots",
+            "test_coordination_random",
+            "test_coordination_*",
+            "test_control_runtime",
+        ],
+        ["test_coordination_[!c]*", "test_control_runtime"],
+    ),
+    Area(
+        "storage",
+        ["rosechute/storage/*.py"],
+        ["test_planted_storage*", "test_storage_*", "test_processes_state", "test_control_runtime"],
+    ),
+    Area(
+        "distribution",
+        ["rosechute/distribution/*.py"],
+        [
+            "test_planted_distribution*",
+            "test_distribution_values",
+            "test_distribution_orders",
+            "test_distribution_link",
+            "test_distribution_*",
+        ],
+        ["test_distribution_clusters", "test_distribution_wallet"],
+    ),
+    Area(
+        "control",
+        ["rosechute/control/*.py"],
+        ["test_planted_control*", "test_control_*", "test_quota_leases", "test_distribution_wallet", "test_quota_*"],
+        ["test_distribution_wallet", "test_quota_sum", "test_control_runtime"],
+    ),
+    Area(
+        "wallets",
+        ["rosechute/routing/quota_wallet.py", "rosechute/routing/rate_lease.py"],
+        ["test_planted_wallets*", "test_quota_leases", "test_distribution_wallet", "test_quota_*"],
+        ["test_quota_sum"],
+    ),
+    Area(
+        "requests",
+        [
+            "rosechute/data/request*.py",
+            *(f"rosechute/data/{name}.py" for name in ("attempt", "verdict", "servers", "admission", "shutdown")),
+        ],
+        [
+            "test_planted_requests*",
+            "test_data_terms",
+            "test_data_plain",
+            "test_data_races",
+            "test_data_servers",
+            "test_data_events",
+            "test_data_streams",
+            "test_data_shutdown",
+            "test_data_*",
+        ],
+        ["test_data_random", "test_data_uvloop", "test_data_shutdown"],
+    ),
+)
+
+
+def area_of(path: str, root: Path) -> Area:
+    """The area that a source file belongs to."""
+    return next(area for area in AREAS if path in area.paths(root))
