--- a/tests/fleet/test_planted_coordination_chain.py
+++ b/tests/fleet/test_planted_coordination_chain.py
@@ -25,7 +25,7 @@
     Timing,
     Unsure,
 )
-from rosechute.coordination.views import State, bootstrap_id, identity_of, machine_of, view_of
+from rosechute.coordination.views import State, View, bootstrap_id, identity_of, machine_of, view_of
 from rosechute.messages import coordination_pb2 as pb
 
 from .coordination_parts import EPOCH, NOW, Parts, identity, order, state, term, view
@@ -253,6 +253,15 @@
         self.chain.read(4)
         self.assertEqual(self.parts.answers(), [(3, Unsure()), (4, Unsure())])
 
+    def test_an_order_answered_while_cut_off_is_not_taken_once_the_others_are_back(self) -> None:
+        self.parts.pass_time(2.0)
+        self.chain.submit(order(1))
+        self.assertEqual(self.parts.answers(), [(1, Unsure())])
+        for each in "bc":
+            self.parts.hear(each)
+        self.chain.submit(order(2, 51, 52))
+        self.assertEqual(self.parts.sync(), [])
+
     def test_one_other_machine_is_enough_of_three(self) -> None:
         self.link.pass_time(2.0, hearing="b")
         self.chain.submit(order(1))
@@ -293,6 +302,13 @@
         self.chain.note_committed(EPOCH, 6)
         self.assertEqual(self.parts.answers(), [(1, Acknowledged(51))])
 
+    def test_what_waited_is_tried_again_once(self) -> None:
+        self.chain.active = False
+        self.chain.submit(order(1, 49, 60))
+        self.chain.view_changed()
+        self.chain.activate()
+        self.assertEqual(len(self.link.confirmer.waiting), 1)
+
     def test_what_nobody_waits_for_is_not_tried_again(self) -> None:
         self.chain.submit(order(1))
         self.link.pass_time(TIMING.order_deadline, hearing="bc")
@@ -562,6 +578,7 @@
     def test_a_wiped_machine_is_replaced_at_its_address(self) -> None:
         joiner = self.stranger(address="c:8367")
         self.assertEqual(self.needed(usable="abn", joiners=[joiner]), ("abn", "abn"))
+        self.assertEqual(self.needed(usable="abcn", joiners=[joiner]), ("abn", "abn"), "even if it is still heard")
 
     def test_a_name_at_a_new_address_replaces_the_silent_machine(self) -> None:
         joiner = self.stranger(known_as="name-c")
@@ -581,6 +598,8 @@
         silent = {"b": 1.0, "c": 2.0}
         joiner = self.stranger()
         self.assertEqual(self.needed(usable="abn", joiners=[joiner], silent=silent), ("abn", "abn"))
+        silent = {"b": 2.0, "c": 1.0}
+        self.assertEqual(self.needed(usable="acn", joiners=[joiner], silent=silent), ("anc", "acn"))
         self.assertEqual(self.needed(usable="abcn", joiners=[joiner], silent={"c": 0.99}), ("abcn", "abcn"))
 
     def test_one_change_at_a_time(self) -> None:
@@ -598,6 +617,7 @@
         found = needed_view(view(), self.situation("abcn", joiners=[joiner]))
         assert found is not None
         self.assertEqual(found.size, 4)
+        self.assertEqual(self.needed("abcd", usable="abcdn", joiners=[joiner]), ("abcdn", "abcdn"))
 
     def test_a_newcomer_replaces_nobody(self) -> None:
         joiner = self.stranger(newcomer=True)
@@ -618,6 +638,7 @@
 
     def test_a_surplus_machine_is_removed_once_silent(self) -> None:
         self.assertIsNone(self.needed("abcd", usable="abcd", silent={"d": 0.99}))
+        self.assertEqual(self.needed("abcd", usable="acd", silent={"b": 2.0, "d": 1.0}), ("acd", "acd"))
         self.assertEqual(self.needed("abcd", usable="abc", silent={"b": 1.0, "d": 2.0}), ("abc", "abc"))
         self.assertEqual(self.needed("abcd", usable="abc", silent={"d": 0.9}), ("abcd", "abc"))
 
@@ -705,10 +726,16 @@
 
     def test_nothing_is_said_before_the_identity_is_synced(self) -> None:
         self.start(bootstrap=False)
-        self.assertEqual(self.handle("confirm", pb.Confirm()), [])
+        self.assertEqual(self.hear("b"), [])
         self.assertEqual(self.replica.tick(NOW + 1.0), [])
+        self.assertEqual(self.replica.resign(NOW + 1.0), [])
         self.assertTrue(self.sync(NOW + 1.0))
 
+    def test_a_message_of_a_later_kind(self) -> None:
+        self.start(self.saved())
+        message = pb.CoreMessage(boot=8, sender=machine_of(identity("b")))
+        self.assertEqual(self.replica.receive(NOW, message), [])
+
     def test_a_restart_keeps_what_was_known(self) -> None:
         replica = self.start(self.saved(term=term(6), grantee="b"))
         self.assertEqual((replica.identity.id, replica.view.epoch, replica.term), ("a", EPOCH, 6))
@@ -773,8 +800,19 @@
                  and each.message.HasField("heartbeat")]
         self.assertEqual([(each.healthy, each.leads) for each in beats], [(False, False)] * 2)
 
+    def test_resigns_as_a_follower(self) -> None:
+        self.start(self.saved())
+        beats = self.beats(self.replica.resign(NOW + 0.01))
+        self.assertEqual([each.message.heartbeat.healthy for each in beats], [False, False])
+
+    def test_a_restart_without_a_view(self) -> None:
+        self.start(self.saved(view=View(), committed=State()))
+        self.assertEqual(self.replica.view.epoch, 0)
+
     def test_term_while_it_leads(self) -> None:
-        self.assertEqual(self.lead(), self.replica.term)
+        self.lead()
+        self.replica._context.memory.term = term(9)  # another one has asked meanwhile
+        self.assertEqual(self.replica.term, 1)
 
     def test_who_leads_as_far_as_it_knows(self) -> None:
         self.start(self.saved())
@@ -784,6 +822,10 @@
         hint = self.replica.leader_hint()
         assert hint is not None
         self.assertEqual(hint.id, "c")
+        self.hear("b", NOW + 0.05, leads=True, term=5)
+        hint = self.replica.leader_hint()
+        assert hint is not None
+        self.assertEqual(hint.id, "b")
         self.hear("c", NOW + 0.1, leads=False, term=4)
         hint = self.replica.leader_hint()
         assert hint is not None
@@ -817,8 +859,8 @@
     def test_committed_is_told_once_and_never_an_older_one(self) -> None:
         self.start(self.saved("c"))
         told = []
-        for sequence in (6, 6, 5, 7):
-            decided = pb.Decided(view=view(epoch=EPOCH + sequence).message(), state=state(sequence).message())
+        for later, sequence in enumerate((6, 6, 5, 7), 1):
+            decided = pb.Decided(view=view(epoch=EPOCH + later).message(), state=state(sequence).message())
             actions = self.handle("decided", decided)
             told += [each.configuration.sequence for each in actions if isinstance(each, Committed)]
         self.assertEqual(told, [6, 7])
@@ -832,6 +874,8 @@
         self.hear("z")
         self.assertEqual(sorted(each.id for each in self.replica.core_machines()), ["a", "b", "c", "z"])
         self.assertEqual((self.replica.head(), self.replica.tail()), (identity("a"), identity("c")))
+        replica = self.start(bootstrap=False)
+        self.assertEqual(replica.core_machines(), [replica.identity])
 
     def test_other_seeds_of_the_settings(self) -> None:
         self.start(bootstrap=False)
--- a/tests/fleet/test_planted_coordination_leases.py
+++ b/tests/fleet/test_planted_coordination_leases.py
@@ -20,6 +20,35 @@
 TIMING = Timing()
 
 
+class TimingTest(unittest.TestCase):
+    """The times fit together; each is checked against those that it is reckoned from."""
+
+    def test_margin_covers_the_drift_of_two_clocks(self) -> None:
+        self.assertGreater(TIMING.lease_margin, 0.02 * TIMING.lease)
+
+    def test_renewals_come_several_times_in_a_lease(self) -> None:
+        self.assertGreater(TIMING.lease - TIMING.lease_margin, 3 * TIMING.renew)
+        self.assertGreater(TIMING.renew, TIMING.heartbeat)
+
+    def test_silence_is_several_heartbeats(self) -> None:
+        self.assertGreater(TIMING.suspect, 4 * TIMING.heartbeat)
+        self.assertGreater(TIMING.silent_removed, TIMING.suspect)
+        self.assertGreater(TIMING.blind, 2 * TIMING.heartbeat)
+
+    def test_others_leave_a_proposer_its_time(self) -> None:
+        self.assertGreater(TIMING.recover_sealed, TIMING.proposal_timeout)
+        self.assertGreater(TIMING.proposal_timeout, 3 * TIMING.resend)
+        self.assertGreater(TIMING.candidate_timeout, 3 * TIMING.resend)
+
+    def test_a_disk_is_trusted_sooner_than_it_is_suspected(self) -> None:
+        self.assertLess(TIMING.disk_healthy, TIMING.suspect)
+        self.assertGreater(TIMING.disk_healthy, 0.1)
+
+    def test_operators_are_answered_within_a_second(self) -> None:
+        self.assertLess(TIMING.order_deadline, 1.0)
+        self.assertGreater(TIMING.order_deadline, TIMING.suspect)
+
+
 class GrantorTest(unittest.TestCase):
     """One holder at a time, by the clock of the grantor; terms and grantees are synced before a grant is told."""
 
@@ -140,6 +169,10 @@
         self.assertEqual(len(self.request("c", 5)), 1)
         self.assertEqual(len(self.request("c", 6)), 1)
 
+    def test_a_renewal_goes_on_where_another_has_asked_for_a_higher_term(self) -> None:
+        self.parts.memory.term = term(6, "c")
+        self.assertEqual(len(self.request("b", 4, renewal=True)), 1)
+
     def test_term_of_another_that_came_before_the_sync(self) -> None:
         self.ask("b", 5)
         self.parts.memory.term = term(6, "c")
@@ -153,7 +186,8 @@
 
     def test_no_grant_in_a_sealed_epoch(self) -> None:
         self.parts.seal()
-        self.assertEqual(self.request(), [])
+        self.ask()
+        self.assertEqual((self.grantor.until, self.parts.sync(), self.parts.sent("lease_grant")), (0.0, [], []))
         self.assertFalse(self.grantor.free())
 
     def test_no_grant_of_an_epoch_sealed_before_the_sync(self) -> None:
@@ -171,7 +205,7 @@
 
     def test_only_acceptors_grant(self) -> None:
         parts = Parts("z", "abc")
-        grantor = Grantor(parts.context, NOW - 1.0, kept="b")
+        grantor = Grantor(parts.context, NOW + 1.0, kept="b")
         grantor.on_request(identity("b"), 8, pb.LeaseRequest(epoch=EPOCH, term=1))
         parts.sync()
         self.assertEqual((parts.sent("lease_grant"), grantor.free(), grantor.kept_for()), ([], False, ""))
@@ -303,9 +337,13 @@
         self.lead()
         until = self.holder.until
         for each in "abc":
-            self.grant(each, NOW - 0.5)
+            self.grant(each, NOW - 0.9)
         self.assertEqual(self.holder.until, until)
         self.assertEqual(self.holder.granting(), 3)
+        self.parts.memory.view = view(epoch=EPOCH + 1)
+        for each in "abc":
+            self.grant(each, NOW - 0.5, epoch=EPOCH + 1)
+        self.assertEqual(self.holder.until, until)
 
     def test_grants_that_come_too_late_give_nothing(self) -> None:
         self.holder.tick()
@@ -317,7 +355,7 @@
     def test_grants_that_do_not_count(self) -> None:
         self.grant("b")
         self.grant("c")
-        self.assertIs(self.holder.standing, Standing.FOLLOWER)
+        self.assertEqual((self.holder.standing, self.holder.until), (Standing.FOLLOWER, 0.0))
         self.holder.tick()
         self.grant("a")
         for fields in ({"term": self.holder.term - 1}, {"epoch": EPOCH - 1}, {"boot": OWN_BOOT + 1}):
@@ -402,6 +440,12 @@
         self.assertFalse(self.holder.holds(NOW))
         self.assertEqual(sorted(self.parts.sent_to("lease_release")), ["a", "b", "c"])
 
+    def test_a_candidate_has_no_lease_to_lose(self) -> None:
+        self.holder.tick()
+        self.parts.actions()
+        self.holder.give_up()
+        self.assertNotIn(LeaseLost(), self.parts.actions())
+
     def test_loses_it_with_its_place_in_the_chain_or_its_disk(self) -> None:
         for trouble in ("chain", "disk"):
             self.setUp()
@@ -628,8 +672,17 @@
         self.conflicts(NOW + 0.1)
         self.parts.hear("b", reached=["a"])
         self.assertEqual(self.conflicts(NOW + TIMING.conflict), set())
-        self.detector.tick(NOW + 0.6, "abc", False)
-        self.assertEqual(self.conflicts(NOW + 0.7), set())
+
+    def test_conflicts_count_from_when_views_are_planned(self) -> None:
+        self.parts.hear("b", reached=["a"])
+        self.conflicts(NOW)
+        self.detector.tick(NOW + 0.3, "abc", False)
+        self.assertEqual(self.conflicts(NOW + 0.6), set())
+
+    def test_no_conflicts_of_unhealthy_machines(self) -> None:
+        self.parts.hear("b", reached=["a"], healthy=False)
+        self.conflicts(NOW)
+        self.assertEqual(self.conflicts(NOW + TIMING.conflict), set())
 
     def test_pairs_have_one_order(self) -> None:
         detector = Detector(identity("a"), OWN_BOOT, TIMING, NOW)
@@ -916,7 +969,13 @@
     def test_a_seed_is_told_no_answer(self) -> None:
         self.parts.pass_time(2.0)
         beat = self.beats()["s:7500"]
-        self.assertEqual((beat.echo, beat.echo_boot), (0.0, 0))
+        self.assertEqual((beat.stamp, beat.echo, beat.echo_boot), (NOW + 2.0, 0.0, 0))
+
+    def test_nobody_is_told_twice(self) -> None:
+        self.parts.pass_time(2.0)
+        self.heartbeats.send()
+        addresses = [each.address for each in self.parts.actions() if isinstance(each, Send)]
+        self.assertEqual(sorted(addresses), ["b:7500", "c:7500", "s:7500"])
 
     def test_announced_once(self) -> None:
         self.parts.context.announce = True
@@ -942,3 +1001,7 @@
             self.assertEqual(self.parts.memory.written, written, (name, fields))
         self.receive("c")
         self.assertEqual(self.parts.memory.committed, written)
+
+    def test_a_machine_without_a_view_hears_heartbeats(self) -> None:
+        self.parts.memory.view = view(chain="")
+        self.assertIsNotNone(self.receive("c"))
--- a/tests/fleet/test_planted_coordination_records.py
+++ b/tests/fleet/test_planted_coordination_records.py
@@ -369,6 +369,7 @@
 
     def test_report_of_an_unknown_batch(self) -> None:
         self.write("x")
+        self.parts.flush()
         self.disk.persisted(self.parts.now, 0)
         self.disk.persist_failed(self.parts.now, 9)
         self.assertEqual((self.done, self.disk.healthy()), ([], True))
@@ -397,6 +398,42 @@
         self.assertEqual(self.done, [])
         self.disk.persisted(self.parts.now, whole.token)
         self.assertEqual(self.done, ["x", "y", "z"])
+        self.write("later", 4)
+        later = self.parts.flush()
+        assert later is not None
+        self.assertFalse(later.replaces)
+
+    def test_after_a_refusal_the_disk_is_trusted_after_a_probe_only(self) -> None:
+        self.write("x")
+        first = self.parts.flush()
+        assert first is not None
+        self.disk.persist_failed(self.parts.now, first.token)
+        self.parts.pass_time(self.parts.timing.disk_retry)
+        self.disk.tick(self.parts.now)
+        whole = self.parts.flush()
+        assert whole is not None
+        self.assertFalse(self.disk.healthy())
+        self.disk.persisted(self.parts.now, whole.token)
+        self.assertFalse(self.disk.healthy())
+        self.disk.tick(self.parts.now)
+        self.assertIsNone(self.parts.flush(), "not at once")
+        self.parts.pass_time(self.parts.timing.disk_retry)
+        self.disk.tick(self.parts.now)
+        probe = self.parts.flush()
+        assert probe is not None
+        self.disk.persisted(self.parts.now, probe.token)
+        self.assertTrue(self.disk.healthy())
+
+    def test_other_records_are_no_probe(self) -> None:
+        self.disk.troubled = True
+        self.disk.tick(self.parts.now)
+        probe = self.parts.flush()
+        assert probe is not None
+        self.parts.pass_time(self.parts.timing.disk_healthy + 0.01)
+        self.disk.persisted(self.parts.now, probe.token)
+        self.write("x")
+        self.parts.sync()
+        self.assertFalse(self.disk.healthy())
 
     def test_unwritten_records_do_not_follow_a_refusal(self) -> None:
         self.write("x")
--- a/tests/fleet/test_planted_coordination_views.py
+++ b/tests/fleet/test_planted_coordination_views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from rosechute.coordination.acceptor import Acceptor
@@ -233,9 +234,11 @@
             pb.Refused(epoch=EPOCH, ballot=first.message(), promised=ballot(9, "c").message())
         )
         self.assertEqual(self.proposer.phase, Phase.IDLE)
-        self.proposer.begin()
-        self.assertEqual(self.proposer.phase, Phase.IDLE, "not at once again")
-        self.parts.pass_time(PAUSE_LEAST_S + 0.5 * PAUSE_SPREAD_S)
+        for wait in (0.0, 0.14):  # of a twentieth to a fourth of a second, here in the middle
+            self.parts.pass_time(wait)
+            self.proposer.begin()
+            self.assertEqual(self.proposer.phase, Phase.IDLE, "not at once again")
+        self.parts.pass_time(0.02)
         self.assertEqual(self.begin().round, 10)
 
     def test_lower_refusal_keeps_the_highest_round(self) -> None:
@@ -304,6 +307,12 @@
         self.promise("c", own)
         self.assertEqual(self.proposed().state, state(5, EPOCH + 1))
 
+    def test_newest_term_whoever_answers_first(self) -> None:
+        own = self.begin()
+        self.promise("b", own, term=term(5, "c").message())
+        self.promise("c", own, term=term(4, "b").message())
+        self.assertEqual(self.proposed().view.term, term(5, "c"))
+
     def test_term_of_two_holders_is_nobodys(self) -> None:
         own = self.begin()
         self.promise("b", own, term=term(5, "b").message())
@@ -387,9 +396,11 @@
         self.proposer.tick()
         self.proposer.tick()
         self.assertEqual(sorted(self.parts.sent_to("prepare")), ["a", "c"])
+        self.parts.pass_time(0.1)
         self.promise("a", own)
         self.accepted("a", own)
         self.parts.actions()
+        self.parts.pass_time(0.05)
         self.proposer.tick()
         self.assertEqual(self.parts.sent_to("accept"), [])
         self.parts.pass_time(self.parts.timing.resend)
@@ -578,6 +589,12 @@
         member.membership.check_active()
         self.assertFalse(member.chain.active)
 
+    def test_a_machine_outside_of_the_chain_is_never_active(self) -> None:
+        for chain in ("ab", ""):
+            member = Member("c", chain=chain)
+            member.membership.check_active()
+            self.assertFalse(member.chain.active)
+
     def test_active_by_the_sync_of_its_own_adoption(self) -> None:
         self.decided(EPOCH + 1)
         for each in "bc":
@@ -649,6 +666,7 @@
         self.assertEqual(sorted(self.member.tick()), ["a", "b", "c"])
 
     def test_nobody_else_proposes_for_an_open_epoch(self) -> None:
+        self.parts.pass_time(9.0, hearing="b")
         self.parts.hear("c", healthy=False)
         self.assertEqual(self.member.tick(), [])
 
@@ -691,6 +709,20 @@
         self.assertEqual(self.parts.detector.peers["b"].removals, [NOW])
         self.assertEqual(self.parts.detector.peers["c"].removals, [])
 
+    def test_only_a_sick_machine_that_is_left_out_counts_as_removed(self) -> None:
+        self.parts.detector._conflicts[("b", "c")] = NOW - 9.0
+        self.assertEqual(self.proposed_view(self.member, "abc").chain, ("a", "b"))
+        self.assertEqual(self.parts.detector.peers["c"].removals, [], "healthy, its path to b is cut")
+        for each in "bc":
+            self.parts.hear(each, healthy=False)
+        self.assertEqual(self.proposed_view(self.member, "abc").chain, ("a", "b", "c"))
+        self.assertEqual(self.parts.detector.peers["c"].removals, [], "it stays")
+
+    def test_the_view_has_its_own_newest_addresses(self) -> None:
+        moved = replace(identity("a"), control_address="moved:8367")
+        self.parts.context.own = moved
+        self.assertEqual(self.proposed_view(self.member, "abc").acceptors[0], moved)
+
     def test_a_member_that_comes_back_waits(self) -> None:
         member = Member(chain="ab")
         self.assertEqual(self.proposed_view(member, "abc").chain, ("a", "b"))
@@ -718,6 +750,11 @@
         self.parts.context.joined = 0
         self.assertEqual(len(self.member.tick()), 3)
 
+    def test_its_own_adoption_that_is_under_way_needs_no_view(self) -> None:
+        self.member.lead()
+        self.parts.context.adopted = self.parts.context.joined = EPOCH - 1
+        self.assertEqual(self.member.tick(), [])
+
     def test_a_member_of_an_older_epoch_is_not_restarted(self) -> None:
         self.member.lead()
         self.parts.hear("b", joined=False, epoch=EPOCH - 1)
