--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -27,7 +27,6 @@
     heard: float  # when its newest heartbeat came
     echo: float  # newest stamp of ours that it has sent back
     answered: float  # the same, moved by the time for which this machine did not run
-    newest_echo: float = NEVER  # over all boots
     healthy: bool = False
     healthy_since: float = 0.0
     removals: list[float] = field(default_factory=list)  # times when it was taken out of the chain
@@ -50,7 +49,7 @@
         peer = self.peers.get(identity.id)
         if peer is None:
             peer = self.peers[identity.id] = Peer(identity, boot, beat, now, NEVER, NEVER)
-        elif boot in peer.past_boots and not self._outlives(peer, beat):
+        elif boot in peer.past_boots and now - peer.heard <= self._unreached_after():
             return peer  # a late one of a process that has ended
         elif boot != peer.boot:
             peer.past_boots.add(peer.boot)
@@ -61,19 +60,18 @@
             return peer  # overtaken by a newer one
         peer.identity, peer.beat, peer.heard = identity, beat, now
         if beat.echo_boot == self.boot and beat.echo <= now:
-            peer.newest_echo = max(peer.newest_echo, beat.echo)
             peer.echo = max(peer.echo, beat.echo)
             peer.answered = max(peer.answered, beat.echo)
         self._judge(now, peer)
         return peer
 
-    def _outlives(self, peer: Peer, beat: pb.Heartbeat) -> bool:
-        """Whether a process that was taken for an earlier one answers what no process of that machine has answered.
+    def _unreached_after(self) -> float:
+        """Silence after which a machine counts as not reached.
 
-        Bytes of a process that has ended may arrive after those of its successor, which then seems to have ended. The
-        one that runs goes on answering; what the other has answered has a bound.
+        A process that was taken for an ended one is heard again after such a silence of its supposed successor: bytes
+        of a process that has ended may come after those of the one that runs. They end, and that one goes on.
         """
-        return beat.echo_boot == self.boot and beat.echo > peer.newest_echo
+        return self.timing.suspect + self.timing.heartbeat
 
     def awoke(self, gap: float) -> None:
         """This machine had not run for a while: that time counts for nobody's silence."""
@@ -108,7 +106,7 @@
         peer = self.peers.get(machine_id)
         if peer is None:
             return False
-        return now - peer.answered <= self.timing.suspect + self.timing.heartbeat
+        return now - peer.answered <= self._unreached_after()
 
     def reached(self, now: float) -> list[str]:
         """The machines from which answers come."""
