Resume no stream whose body has gone out already

A body of more than its share of the memory goes to the server as it comes and is not kept. After the break of a stream that may be resumed, the request went to another server all the same: with Content-Length and without the body. The order that does harm: the server answers before it has read the body (a refusal, say) and keeps the connection; the connection counts as free, as nothing of the body is left to be written; the next request goes out on it and the server reads that as the body that is due (UNASKED). Attempts after failures asked for this already (_may_repeat); the resumption did not.

Now _stream_broke asks as well, and prepare, right before the first byte, refuses a request whose body has gone whoever wants to send it.

--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -133,8 +133,8 @@
         """See `AttemptOwner`."""
         admitted, server = self.admitted, attempt.server
         refusal = self._context.refusal(admitted)
-        if refusal is None and self._may_have_run and not admitted.repeatable:
-            refusal = Refusal(503)  # a configuration since its first attempt says so
+        if refusal is None and (self._body_begun() or (self._may_have_run and not admitted.repeatable)):
+            refusal = Refusal(503)  # its body is gone, or a configuration since its first attempt says so
         if refusal is not None:
             self._withdraw()
             self._end_refused(refusal)
@@ -269,7 +269,7 @@
 
     def _stream_broke(self, server: Server, result: AttemptResult) -> None:
         """Go on at another server where that is allowed, else cut."""
-        resumable = self._answer.resumable() and self._time_left()
+        resumable = self._answer.resumable() and not self._body_begun() and self._time_left()
         if resumable:
             self._change(RequestState.WAITING)
         self._context.report(self, server.id, result, resumable)
--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -30,7 +30,6 @@
 GRACE_S = 6.0
 PROMPT_PREFIXES = ("a1:3,b2:4", "a1:3 ,  b2:4", "", "a1:3;q=\xe9", "a1:3,a1:3")
 NOMINATED = ("X-Rosechute-Model", "keep-alive, x-rosechute-prompt-prefix", "Host", "X-Rosechute-Request-Id, X-Other")
-IDS = iter(range(1_000_000_000))
 
 
 class Framing(enum.Enum):
@@ -537,7 +536,7 @@
             told.append(("X-Rosechute-Model", "another line"))
         draw.shuffle(told)
         deadline_ms = draw.choice(DEADLINES_MS)
-        asked = Asked(f"r{next(IDS)}", path, self._world.site.loop.time(), deadline_ms / 1e3, body, told)
+        asked = Asked(f"r{len(self._world.records.asked)}", path, self._world.site.loop.time(), deadline_ms / 1e3, body, told)
         asked.after_answer = after_answer
         self._world.records.asked[asked.name] = asked
         lines = [f"POST {path} HTTP/1.{0 if self._ten else 1}", "Host: app.example",
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -234,6 +234,28 @@
                 site.close()
         self.play(scene)
 
+    def test_a_stream_whose_body_has_gone_is_not_resumed_without_it(self) -> None:
+        """Found: it was sent on with the length of a body that was no longer here. A server that answered before it
+        had read that body then read the next request on the connection in its place."""
+        async def scene() -> None:
+            async def breaks(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await talk.writer.drain()
+                await asyncio.sleep(0.05)
+                talk.reset()
+
+            site = await Site(memory_mb=66).start(s1=breaks, s2=breaks)
+            client = await site.client()
+            client.send("/resume/1", body=b"x" * 200_000)
+            answer = await client.answer()
+            self.assertEqual((answer.status, answer.whole, answer.body), (200, False, event(1)))
+            await asyncio.sleep(0.5)
+            self.assertEqual(sum(server.connections for server in site.servers.values()), 1)
+            self.assertEqual([len(call.body) for call in site.calls], [200_000])
+            site.close()
+        self.play(scene)
+
     def test_a_body_that_stops_half_way_is_ended_and_its_server_dropped(self) -> None:
         async def scene() -> None:
             site = await Site(memory_mb=66).start(s1=plain)
