Tests of the newer terms for requests: GONE, CONFIG by timeout_ms, BUDGET by attempts and deadlines

A client that leaves (close, reset, half close) before or after a first failed attempt, at silent, failing and streaming servers, while a repeat waits, and with a long answer unread: nothing of it reaches a server any more, and the connection of the server at work on it is closed within a tenth of a second. Every request has its answer at its route's timeout_ms: at the quota, waiting, connecting (also where that never ends), sent, behind a head without events, with half of its body outstanding. Each attempt's X-Rosechute-Deadline-Ms ends with the client's own deadline; max_attempts of 1, 2 and 3 are held by repeats and resumptions.

--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -536,8 +536,8 @@
             told.append(("X-Rosechute-Model", "another line"))
         draw.shuffle(told)
         deadline_ms = draw.choice(DEADLINES_MS)
-        asked = Asked(f"r{len(self._world.records.asked)}", path, self._world.site.loop.time(), deadline_ms / 1e3, body, told)
-        asked.after_answer = after_answer
+        name, now = f"r{len(self._world.records.asked)}", self._world.site.loop.time()
+        asked = Asked(name, path, now, deadline_ms / 1e3, body, told, after_answer=after_answer)
         self._world.records.asked[asked.name] = asked
         lines = [f"POST {path} HTTP/1.{0 if self._ten else 1}", "Host: app.example",
                  f"X-Rosechute-Request-Id: {asked.name}", f"X-Rosechute-Credential: {KEY}"]
--- a/tests/fleet/test_data_terms.py
+++ b/tests/fleet/test_data_terms.py
@@ -5,7 +5,18 @@
 import asyncio
 
 from rosechute.data.request_state import RequestState
-from tests.fleet.data_site import Call, Site, SiteCase, Talk, configuration, plain, route, until_closed
+from tests.fleet.data_site import (
+    Answer,
+    Call,
+    Script,
+    Site,
+    SiteCase,
+    Talk,
+    configuration,
+    plain,
+    route,
+    until_closed,
+)
 
 
 class Quotas(SiteCase):
@@ -157,6 +168,151 @@
         self.play(scene)
 
 
+async def resets_late(talk: Talk, call: Call) -> None:
+    """Fails after a while, so that a request may be repeated."""
+    await asyncio.sleep(0.3)
+    talk.reset()
+
+
+async def streams_slowly(talk: Talk, call: Call) -> None:
+    """An event each tenth of a second, for as long as its connection lasts."""
+    talk.begin()
+    for number in range(1, 1000):
+        if talk.reader.at_eof():
+            raise ConnectionError
+        talk.event(number)
+        await asyncio.sleep(0.1)
+
+
+class Timeouts(SiteCase):
+    """CONFIG: whatever a request waits for, it is answered when its route's time is over."""
+
+    def bounded(self, answer: Answer, begun: float) -> None:
+        self.assertTrue(0.9 < answer.at - begun < 1.0, answer.at - begun)
+
+    async def short(self, **scripts: Script) -> Site:
+        """A site whose routes have a second."""
+        site = await Site().start(**scripts)
+        site.plane.apply_configuration(configuration(2, routes=[
+            route("plain", timeout_ms=1000), route("again", route_type="idempotent", timeout_ms=1000),
+            route("stream", route_type="streaming", gap_aim_ms=500, timeout_ms=1000),
+            route("resume", route_type="streaming", gap_aim_ms=500, timeout_ms=1000, stream_resume=True),
+        ]), 2)
+        return site
+
+    def test_at_a_silent_server(self) -> None:
+        async def scene() -> None:
+            async def only_a_head(talk: Talk, call: Call) -> None:
+                talk.begin()
+                await until_closed(talk, call)
+
+            for script in (until_closed, resets_late, only_a_head):
+                site = await self.short(s1=script, s2=script)
+                for path in ("/plain/1", "/again/1", "/stream/1", "/resume/1"):
+                    begun = site.loop.time()
+                    answer = await site.ask(path, deadline=60_000)
+                    self.assertLess(answer.at - begun, 1.0, (script.__name__, path))
+                    if script is until_closed:
+                        self.bounded(answer, begun)
+                        self.assertEqual(answer.status, 504)
+                site.close()
+        self.play(scene)
+
+    def test_while_its_quota_is_asked_for(self) -> None:
+        async def scene() -> None:
+            site = await self.short()
+            site.quota.held = []
+            begun = site.loop.time()
+            answer = await site.ask(key="m1", deadline=60_000)
+            self.bounded(answer, begun)
+            self.assertEqual((answer.status, site.calls), (503, []))
+            site.close()
+        self.play(scene)
+
+    def test_while_it_waits_for_a_server_or_its_connection(self) -> None:
+        async def scene() -> None:
+            async def never(*_: object, **__: object) -> None:
+                await asyncio.sleep(60)
+
+            site = await self.short(s1=until_closed)
+            for connects in (True, False):
+                if not connects:
+                    site.plane.servers.connect = never  # type: ignore[method-assign, assignment]
+                    site.plane.servers.close_all_idle()
+                begun = site.loop.time()
+                asking = [asyncio.ensure_future(site.ask("/again/1", deadline=60_000)) for _ in range(40)]
+                for answer in await asyncio.gather(*asking):
+                    self.assertLess(answer.at - begun, 1.0)
+            site.close()
+        self.play(scene)
+
+    def test_while_the_rest_of_its_body_is_awaited(self) -> None:
+        async def scene() -> None:
+            site = await Site(memory_mb=66).start(s1=plain)
+            site.plane.apply_configuration(configuration(2, routes=[route("plain", timeout_ms=1000)]), 2)
+            client = await site.client()
+            begun = site.loop.time()
+            client.writer.write(
+                b"POST /plain/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" + b"x" * 150000
+            )
+            answer = await client.answer()
+            self.assertLess(answer.at - begun, 1.5)
+            self.assertEqual(answer.status, 504)
+            site.close()
+        self.play(scene)
+
+
+class DeadlinesHandedOn(SiteCase):
+    """BUDGET: servers are told how long the client still waits."""
+
+    def test_each_attempt_ends_with_the_clients_own_deadline(self) -> None:
+        async def scene() -> None:
+            for path in ("/again/1", "/resume/1"):
+                site = await Site().start(s1=resets_late, s2=resets_late, s3=resets_late)
+                begun = site.loop.time()
+                await site.ask(path, deadline=3000)
+                self.assertGreater(len(site.calls), 1)
+                for call in site.calls:
+                    ends_s = call.at - begun + int(call.headers["x-rosechute-deadline-ms"]) / 1e3
+                    self.assertTrue(2.9 < ends_s <= 3.0, ends_s)
+                site.close()
+        self.play(scene)
+
+    def test_without_one_or_with_one_that_is_no_number_it_is_the_routes_time(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            for path in ("/plain/1", "/stream/1"):
+                for lines in ((), ("X-Rosechute-Deadline-Ms: soon",), ("X-Rosechute-Deadline-Ms: -1",)):
+                    await site.ask(path, *lines, deadline=0)
+                    self.assertTrue(4900 < int(site.calls[-1].headers["x-rosechute-deadline-ms"]) <= 5000)
+            site.close()
+        self.play(scene)
+
+    def test_no_request_runs_at_more_servers_than_its_route_allows(self) -> None:
+        async def scene() -> None:
+            async def resets(talk: Talk, call: Call) -> None:
+                if "/resume" in call.target:
+                    talk.begin()
+                    talk.event(int(call.headers.get("last-event-id", 0)) + 1)
+                    await asyncio.sleep(0.05)
+                talk.reset()
+
+            scripts = {f"s{number}": resets for number in range(8)}
+            for most in (1, 2, 3):
+                site = await Site().start(**scripts)
+                site.plane.apply_configuration(configuration(2, routes=[
+                    route("again", route_type="idempotent", max_attempts=most),
+                    route("resume", route_type="streaming", gap_aim_ms=500, stream_resume=True, max_attempts=most),
+                ]), 2)
+                for path in ("/again/1", "/resume/1"):
+                    before = len(site.calls)
+                    await site.ask(path)
+                    self.assertEqual(len(site.calls) - before, most)
+                site.close()
+        self.play(scene)
+
+
 class Priorities(SiteCase):
     def test_the_tenants_priority_stands_before_the_routes(self) -> None:
         async def scene() -> None:
@@ -198,6 +354,75 @@
             site.close()
         self.play(scene)
 
+    def test_nothing_of_a_request_reaches_a_server_half_a_second_after_its_client_left(self) -> None:
+        """GONE: whatever it was doing, and the server at work on it sees its connection close at once."""
+        async def scene(at_work: Script) -> None:
+            for path in ("/again/1", "/resume/1", "/stream/1", "/plain/1"):
+                for leave in ("close", "reset", "half close"):
+                    for after_s in (0.02, 0.4):  # before and after the first attempt has failed
+                        site = await Site().start(s1=at_work, s2=at_work)
+                        client = await site.client()
+                        client.send(path)
+                        await asyncio.sleep(after_s)
+                        left_at = site.loop.time()
+                        if leave == "half close":
+                            client.writer.write_eof()
+                        else:
+                            getattr(client, leave)()
+                        await asyncio.sleep(0.1)
+                        self.assertFalse(site.plane.front.requests or site.router._calls)
+                        servers = site.plane.servers._servers.values()
+                        self.assertEqual(sum(server.links - len(server.idle) for server in servers), 0)
+                        await asyncio.sleep(1.0)
+                        self.assertFalse([call for call in site.calls if call.at > left_at + 0.1], (path, leave))
+                        site.close()
+        for at_work in (resets_late, until_closed, streams_slowly):
+            self.play(lambda at_work=at_work: scene(at_work))  # type: ignore[misc]
+
+    def test_a_client_that_leaves_with_a_long_answer_unread_ends_the_servers_work(self) -> None:
+        async def scene() -> None:
+            async def flood(talk: Talk, call: Call) -> None:
+                talk.begin()
+                for number in range(1, 4000):
+                    talk.piece(b"id: %d\ndata: %s\n\n" % (number, b"x" * 4000))
+                    await talk.writer.drain()
+
+            for path in ("/stream/1", "/resume/1"):
+                for leave in ("close", "reset"):
+                    site = await Site(memory_mb=118).start(s1=flood)
+                    client = await site.client()
+                    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                    client.send(path)
+                    client.send(path)  # one more behind it, which nobody waits for either
+                    await asyncio.sleep(1.0)
+                    self.assertFalse(site.servers["s1"].closed)
+                    getattr(client, leave)()
+                    await asyncio.sleep(0.4)
+                    self.assertEqual(len(site.servers["s1"].closed), 1)
+                    self.assertEqual((len(site.calls), len(site.plane.front.requests)), (1, 0))
+                    site.close()
+        self.play(scene)
+
+    def test_a_client_that_leaves_while_a_repeat_waits_for_a_server(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=resets_late, s2=resets_late)
+            client = await site.client()
+            client.send("/again/1")
+            await asyncio.sleep(0.2)
+            site.router._try = lambda *_: None  # type: ignore[method-assign]  # no server has room for a repeat
+            await asyncio.sleep(0.2)
+            request, = site.plane.front.requests.values()
+            self.assertIs(request.state, RequestState.WAITING)
+            self.assertEqual(len(site.calls), 1)
+            client.close()
+            await asyncio.sleep(0.1)
+            calls = len(site.calls)
+            self.assertFalse(site.plane.front.requests or site.router._calls)
+            await asyncio.sleep(3.0)
+            self.assertEqual(len(site.calls), calls)
+            site.close()
+        self.play(scene)
+
     def test_a_client_that_leaves_while_its_connection_comes_up_costs_the_server_nothing(self) -> None:
         async def scene() -> None:
             site = await Site().start()
