Shutdown: early streams of unknown length are taken; open requests are not looked at

Cause: a process that is stopped a second after its start has measured nothing, and turned every stream away whose deadline lay beyond grace_s, though clients are still sent to it for two seconds. Each look at what waits also computed the estimate for what is at a server already.

--- a/rosechute/data/shutdown.py
+++ b/rosechute/data/shutdown.py
@@ -8,6 +8,7 @@
 from rosechute.data.admission import Admitted, answer_limit
 from rosechute.data.durations import RouteDurations
 from rosechute.data.front import Front
+from rosechute.data.request import RequestState
 
 LEAST_S = 2.5  # for so long clients may come that were sent here before the process was seen not to be ready
 ANSWERED_SHARE = 0.9  # of the requests of a route that end within the time for which one is taken
@@ -18,6 +19,7 @@
 LAST_MOMENT_S = 0.15  # before the end of the time: what is still open is ended
 LET_READ_S = 0.3  # for so long at most clients that had their last answer are waited for
 LOOK_S = 0.02  # how often it is looked at whether all is done
+UNSENT = frozenset({RequestState.QUOTA, RequestState.WAITING, RequestState.CONNECTING})
 
 
 class Shutdown:
@@ -45,14 +47,15 @@
         return expected_s is not None and self._loop.time() + expected_s <= self._cut_at
 
     def _expected_s(self, admitted: Admitted) -> float | None:
-        """How long a request takes at the most, by what its route's requests took lately; None where that is not
-        known."""
+        """How long a request takes at the most, by what its route's requests took lately; None where too little is
+        known to take the risk."""
         route = admitted.route
         if not route.streaming:
             usual_s = self._durations.within_s(route.name, ANSWERED_SHARE)
             return usual_s if usual_s is not None else route.target_latency_ms / 1e3
         if admitted.arrived <= self._begun + STREAMS_EXCUSED_S:
-            return self._durations.within_s(route.name, STREAMED_SHARE)
+            usual_s = self._durations.within_s(route.name, STREAMED_SHARE)
+            return usual_s if usual_s is not None else 0.0
         longest_s = self._durations.longest_s(route.name)
         return longest_s * LONGEST_FACTOR if longest_s is not None else None
 
@@ -102,7 +105,7 @@
     def _refuse_what_comes_too_late(self) -> None:
         """Answer at once what is not at a server and would not end there in time: another edge may serve it."""
         for request in list(self._front.requests.values()):
-            if not self.can_finish(request.admitted):
+            if request.state in UNSENT and not self.can_finish(request.admitted):
                 request.refuse_unsent()
 
     def _take_no_more(self) -> None:
--- a/tests/fleet/test_data_shutdown.py
+++ b/tests/fleet/test_data_shutdown.py
@@ -201,6 +201,21 @@
                 site.close()
         self.play(scene)
 
+    def test_a_stream_that_comes_early_is_taken_where_nothing_is_known_of_such_streams(self) -> None:
+        async def scene() -> None:
+            async def asked_after(wait_s: float) -> Answer:
+                await asyncio.sleep(wait_s)
+                return await site.ask("/stream/1", deadline=15000)
+
+            site = await Site(grace_s=4.0).start(s1=streaming(12, 0.1))
+            ending = asyncio.ensure_future(self.end(site))
+            answers = await asyncio.gather(*(asked_after(wait_s) for wait_s in (0.0, 1.0, 2.4, 2.6)))
+            self.assertEqual([answer.status for answer in answers], [200, 200, 200, 503])
+            self.assertTrue(all(answer.whole for answer in answers))
+            await ending
+            site.close()
+        self.play(scene)
+
     def test_a_late_stream_of_a_route_that_is_always_short_is_taken(self) -> None:
         async def scene() -> None:
             site = await Site(grace_s=8.0).start(s1=streaming(3, 0.1))
