--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -202,6 +202,10 @@
             self._durations.add(request.admitted.route.name, self.loop.time() - request.admitted.arrived)
         self._dispatcher.report(request, server_id, result, again)
 
+    def may_go_elsewhere(self, request: ClientRequest) -> bool:
+        """Whether the router would send it to another server now if the one that it is at failed it."""
+        return self._dispatcher.may_go_elsewhere(request)
+
     def withdraw(self, request: ClientRequest) -> None:
         """Tell the router that nothing more is wanted for it."""
         self._dispatcher.withdraw(request)
