--- a/tests/fleet/test_planted_coordination_chain.py
+++ b/tests/fleet/test_planted_coordination_chain.py
@@ -402,6 +402,16 @@
         link.parts.sync()
         self.assertEqual([each.sequence for each in link.parts.sent("chain_write")], [7])
 
+    def test_a_write_that_came_too_early_is_not_passed_on_before_its_sync(self) -> None:
+        link = Link("b")
+        link.write(6)
+        first = link.parts.flush()
+        for sequence in (8, 7, 8):
+            link.write(sequence)
+        assert first is not None
+        link.parts.disk.persisted(link.parts.now, first.token)
+        self.assertEqual(link.parts.sent("chain_write"), [])
+
     def test_writes_that_are_not_taken(self) -> None:
         link = Link("b")
         link.write(sender="c")
