--- a/tests/fleet/test_planted_coordination_leases.py
+++ b/tests/fleet/test_planted_coordination_leases.py
@@ -237,6 +237,13 @@
         self.assertEqual((self.grantor.free(), self.grantor.kept_for()), (False, ""))
         self.assertEqual(self.grantor.abstain_until, NOW + TIMING.lease)
 
+    def test_a_note_of_a_grantee_does_not_outlive_a_view_in_which_it_abstains(self) -> None:
+        self.ask("b", 4, renewal=True)
+        self.grantor.abstain()
+        self.parts.disk.write(pb.Record(probe=pb.ProbeRecord()))
+        self.parts.sync()
+        self.assertEqual(self.parts.memory.grantee, "")
+
     def test_abstains_no_shorter_than_before(self) -> None:
         self.grantor.abstain_until = NOW + 9.0
         self.grantor.abstain()
@@ -567,6 +574,19 @@
         self.parts.hear("b", boot=9, sequence=9, stamp=NOW - 1)
         self.assertEqual((peer.boot, peer.beat.sequence), (9, 7))
 
+    def test_a_process_taken_for_an_ended_one_is_heard_again_once_it_answers_something_newer(self) -> None:
+        self.parts.hear("b", boot=9)
+        self.parts.hear("b", boot=8, stamp=NOW + 1)
+        self.assertEqual(self.detector.peers["b"].boot, 9)
+        self.parts.pass_time(0.1)
+        self.parts.hear("b", boot=8, echo_boot=OWN_BOOT + 1)
+        self.assertEqual(self.detector.peers["b"].boot, 9)
+        self.parts.hear("b", boot=8)
+        peer = self.detector.peers["b"]
+        self.assertEqual((peer.boot, peer.past_boots, peer.newest_echo), (8, {9}, self.parts.now))
+        self.parts.hear("b", boot=8, echo=NOW, stamp=NOW + 1)
+        self.assertEqual(peer.newest_echo, self.parts.now)
+
     def test_another_process_has_answered_nothing_so_far(self) -> None:
         self.parts.pass_time(0.1)
         self.parts.hear("b", boot=9, echo_boot=0, echo=0.0, stamp=1.0)
@@ -860,6 +880,13 @@
         self.confirmer.tick()
         self.assertEqual(self.told, [False])
 
+    def test_too_late_by_answers_that_came_while_this_process_stood_still(self) -> None:
+        number = self.ask()
+        self.confirm("b", number)
+        self.parts.pass_time(TIMING.order_deadline + 0.01)
+        self.confirm("c", number)
+        self.assertEqual(self.told, [False])
+
     def test_asks_those_again_that_have_not_answered(self) -> None:
         number = self.ask()
         self.confirm("b", number)
@@ -917,6 +944,7 @@
         beat = self.beats()["b:7500"]
         self.assertEqual((beat.stamp, beat.epoch, beat.sequence, beat.committed), (NOW, EPOCH, 5, 5))
         self.assertEqual((beat.sealed, beat.joined, beat.active, beat.healthy), (False, True, False, True))
+        self.assertFalse(beat.leaving)
         self.assertEqual((list(beat.reached), beat.term, beat.leads), (["b", "c"], 4, False))
         self.assertEqual((beat.lease_free, beat.lease_kept_for, beat.newcomer), (True, "", True))
         self.assertEqual((beat.echo, beat.echo_boot), (NOW, 8))
@@ -929,6 +957,7 @@
         self.parts.memory.written = self.parts.memory.committed.after(EPOCH, 51, b"", b"")
         beat = self.beats()["b:7500"]
         self.assertEqual((beat.sealed, beat.joined, beat.active, beat.healthy), (True, False, True, False))
+        self.assertTrue(beat.leaving)
         self.assertEqual((beat.sequence, beat.committed, beat.lease_free, beat.newcomer), (6, 5, False, False))
 
     def test_nothing_is_joined_before_the_first_epoch(self) -> None:
--- a/tests/fleet/test_planted_coordination_views.py
+++ b/tests/fleet/test_planted_coordination_views.py
@@ -729,6 +729,21 @@
         member.parts.pass_time(member.parts.timing.readmit + 0.01, hearing="bc")
         self.assertEqual(self.proposed_view(member, "abc").chain, ("a", "b", "c"))
 
+    def test_a_surplus_machine_that_leaves_is_no_acceptor_of_the_next_view(self) -> None:
+        for reached, members in ((True, "abc"), (False, "abcd")):
+            member = Member(members="abcd")
+            member.parts.memory.view = view("abcd", size=3)
+            answer = NOW if reached else NOW - 5.0
+            member.parts.hear("d", healthy=False, leaving=True)
+            member.parts.detector.peers["d"].answered = answer
+            found = self.proposed_view(member, "abc")
+            self.assertEqual("".join(each.id for each in found.acceptors), members)
+
+    def test_a_member_that_just_came_back_is_taken_where_the_chain_lacks_a_majority(self) -> None:
+        member = Member(members="abcd", chain="abc")
+        member.parts.hear("c", healthy=False)
+        self.assertEqual(self.proposed_view(member, "abc").chain, ("a", "b", "d"))
+
     def test_a_stranger_replaces_the_wiped_machine_at_its_address(self) -> None:
         self.parts.hear("c", healthy=False)
         stranger = pb.Heartbeat(stamp=NOW, healthy=True, echo=NOW, echo_boot=OWN_BOOT, reached=["a", "b"])
