--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -6,7 +6,8 @@
 import socket
 from dataclasses import replace
 
-from rosechute.data.request import ClientRequest, RequestState
+from rosechute.data.request import ClientRequest
+from rosechute.data.request_state import RequestState
 from rosechute.routing.model import AttemptResult, RoutingAction, Send, ServerEntry
 from tests.fleet.data_site import Call, Script, Site, SiteCase, Talk, configuration, event, plain, route, until_closed
 from tests.fleet.test_data_streams import events, streaming
@@ -114,6 +115,46 @@
                 site.close()
         self.play(scene)
 
+    def test_an_answer_with_two_ids_is_none(self) -> None:
+        """Found: a short answer that named another request beside ours was passed on."""
+        async def scene() -> None:
+            for ours_first in (True, False):
+                async def two(talk: Talk, call: Call) -> None:
+                    names = (call.id, "another") if ours_first else ("another", call.id)  # noqa: B023
+                    fields = "".join(f"X-Rosechute-Request-Id: {name}\r\n" for name in names)
+                    head = f"HTTP/1.1 200 OK\r\n{fields}X-Rosechute-Server-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+                    talk.writer.write(head.encode() + b"body")
+
+                site = await Site().start(s1=two)
+                self.assertEqual((await site.ask()).status, 502)
+                await asyncio.sleep(0.1)
+                self.assertEqual(site.plane.servers.find("s1").links, 0)  # type: ignore[union-attr]
+                site.close()
+        self.play(scene)
+
+    def test_a_success_that_is_marked_as_not_executed_is_none(self) -> None:
+        """Found: streams and long answers were passed on that said of themselves that they had not run."""
+        async def scene() -> None:
+            async def marked(talk: Talk, call: Call) -> None:
+                if call.target.startswith("/stream"):
+                    talk.begin("X-Rosechute-Not-Executed: 1")
+                    talk.event(1)
+                    await asyncio.sleep(0.1)
+                    talk.finish()
+                elif call.target.endswith("long"):
+                    talk.writer.write(talk.head(200, "Content-Length: 100000", "X-Rosechute-Not-Executed: 1"))
+                    await asyncio.sleep(0.1)
+                    talk.writer.write(b"x" * 100_000)
+                else:
+                    talk.answer(200, b"x", "X-Rosechute-Not-Executed: 1")
+
+            for path in ("/plain/short", "/plain/long", "/stream/1"):
+                site = await Site().start(s1=marked, s2=marked)
+                self.assertEqual((await site.ask(path)).status, 502, path)
+                self.assertEqual(len(site.calls), 1)
+                site.close()
+        self.play(scene)
+
     def test_a_second_answer_to_one_request_goes_to_nobody(self) -> None:
         async def scene() -> None:
             async def twice(talk: Talk, call: Call) -> None:
@@ -193,6 +234,28 @@
                 site.close()
         self.play(scene)
 
+    def test_a_stream_whose_body_has_gone_is_not_resumed_without_it(self) -> None:
+        """Found: it was sent on with the length of a body that was no longer here. A server that answered before it
+        had read that body then read the next request on the connection in its place."""
+        async def scene() -> None:
+            async def breaks(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await talk.writer.drain()
+                await asyncio.sleep(0.05)
+                talk.reset()
+
+            site = await Site(memory_mb=66).start(s1=breaks, s2=breaks)
+            client = await site.client()
+            client.send("/resume/1", body=b"x" * 200_000)
+            answer = await client.answer()
+            self.assertEqual((answer.status, answer.whole, answer.body), (200, False, event(1)))
+            await asyncio.sleep(0.5)
+            self.assertEqual(sum(server.connections for server in site.servers.values()), 1)
+            self.assertEqual([len(call.body) for call in site.calls], [200_000])
+            site.close()
+        self.play(scene)
+
     def test_a_body_that_stops_half_way_is_ended_and_its_server_dropped(self) -> None:
         async def scene() -> None:
             site = await Site(memory_mb=66).start(s1=plain)
@@ -345,7 +408,7 @@
             await asyncio.sleep(0.5)
             site.loop._jump.now += 3.5  # type: ignore[attr-defined]
             request, = site.plane.front.requests.values()
-            request._look()  # as on a loop that calls timers before it reads
+            request._silence.look()  # as on a loop that calls timers before it reads
             self.assertIs(request.state, RequestState.PASSING)
             self.assertFalse((await answer).whole)  # its client's time is over
             self.assertEqual(len(site.calls), 1)
