Model: servers begin a stream before they have read its request; say why that is not passed on

The client's connection answers 408 where a body stops half way, also when an answer has begun, so that a second head would stand within the first answer. What holds today stays, now with its reason and a test: a stream that begins before its request is out counts as no answer, and its connection is closed.

--- a/rosechute/data/attempt.py
+++ b/rosechute/data/attempt.py
@@ -116,7 +116,9 @@
 
     def _begin(self, reply: Reply, length: int | None) -> Sink | None:
         if self.state is not AttemptState.SENT or self._link is None or not self._link.wire.written:
-            return None  # answered before the request was out
+            # Answered before the request was out. The client's connection answers 408 to a body that stops half way,
+            # which would then stand within the answer that has begun. A whole answer is taken (`_replied`).
+            return None
         sink = self._owner.begin(self, reply, length)
         if sink is not None and self.state is AttemptState.SENT:
             self.state = AttemptState.PASSING
--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -445,8 +445,10 @@
         run.body = f"early answer of {run.stamp}".encode()
         run.ended_whole = run.success = True
         if arrival.target.startswith(("/stream", "/resume")):
-            run.success = False
-            self._whole(500, name, run.body, f"X-Rosechute-Server-Stamp: {run.stamp}")
+            run.body, run.ended_whole = b"", False
+            stamps = [f"X-Rosechute-Server-Stamp: {run.stamp}"]
+            await self._stream(arrival, run, Framing.CHUNKED, (name,), stamps, Conduct.ANSWERS, Break.NOT)
+            run.ended_whole = True
         else:
             self._whole(200, name, run.body, f"X-Rosechute-Server-Stamp: {run.stamp}")
         await self._writer.drain()
--- a/tests/fleet/test_data_streams.py
+++ b/tests/fleet/test_data_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import msgspec
 
@@ -49,6 +50,13 @@
     return script
 
 
+async def read_head_alone(talk: Talk) -> Call:
+    """A server that answers before it reads a body."""
+    head = await talk.reader.readuntil(b"\r\n\r\n")
+    talk.call = Call(head, asyncio.get_running_loop().time())
+    return talk.call
+
+
 class Streams(SiteCase):
     def test_head_and_events_are_passed_on_as_they_come(self) -> None:
         async def scene() -> None:
@@ -171,6 +179,35 @@
                     site.close()
         self.play(scene)
 
+    def test_a_stream_that_begins_before_its_request_is_out_is_none(self) -> None:
+        """Nothing of it is passed on, and its connection is not used again: the rest of the body is due there."""
+        async def scene() -> None:
+            async def early(talk: Talk, call: Call) -> None:
+                talk.begin()
+                for number in (1, 2):
+                    talk.event(number)
+                    await asyncio.sleep(0.1)
+                talk.finish()
+
+            body = b"x" * 200_000
+            for path in ("/stream/1", "/resume/1"):
+                site = await Site(memory_mb=66).start(s1=early)
+                with mock.patch.object(Talk, "read", read_head_alone):
+                    client = await site.client()
+                    head = (
+                        b"POST %s HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                        b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" % path.encode()
+                    )
+                    client.writer.write(head + body[:150_000])
+                    answer = await client.answer()
+                self.assertEqual((answer.status, answer.whole, answer.body), (502, True, b""))
+                await asyncio.sleep(0.1)
+                server = site.plane.servers.find("s1")
+                assert server is not None
+                self.assertEqual((server.links, len(site.plane.front.requests), site.plane.budget.used), (0, 0, 0))
+                site.close()
+        self.play(scene)
+
     def test_a_stream_that_may_not_be_resumed_is_cut_promptly(self) -> None:
         async def scene() -> None:
             for then in ("reset", "close", "half"):
