Let go of what no server took of a long body once its request is over

A body that goes out as it comes and is all in, but that the server has not taken whole (it reads slowly), counted as held for good when its request ended before: by the client's leave, the route's time, or a failure. The client's connection drops the body only while more of it is coming. Each such request took up to its share of the memory budget away for the life of the process: shares fall to their least, bodies above 16 kB are no longer kept and can't be sent again.

--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -86,8 +86,15 @@
         if state is RequestState.OVER:
             self._end_timer.cancel()
             self._silence.stop()
+            self._let_go_of_body()
             self._context.over(self)
 
+    def _let_go_of_body(self) -> None:
+        """Count what no server got of a body as held no longer. While more of it comes, its connection does that."""
+        stream = self.message.stream
+        if stream is not None and self.message.complete:
+            stream.drop()
+
     # --- before the router
 
     def start(self) -> None:
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -384,6 +384,33 @@
                 site.close()
         self.play(scene)
 
+    def test_a_long_body_that_no_server_got_is_let_go_of(self) -> None:
+        """Found: what a server had not taken yet of a body that was all in counted as held for good."""
+        async def scene() -> None:
+            head = (
+                b"POST /plain/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                b"X-Rosechute-Credential: k1\r\nX-Rosechute-Deadline-Ms: 1000\r\nContent-Length: 200000\r\n\r\n"
+            )
+            for ends in ("client leaves", "time is over"):
+                site = await Site(memory_mb=66).start(s1=until_closed)
+                client = await site.client()
+                client.writer.write(head + b"x" * 150_000)
+                await asyncio.sleep(0.1)
+                request, = site.plane.front.requests.values()
+                request._attempt._link.wire._blocked = True  # type: ignore[union-attr]  # the server reads no more
+                client.writer.write(b"x" * 50_000)
+                await asyncio.sleep(0.1)
+                self.assertTrue(request.message.complete)
+                self.assertEqual(site.plane.budget.used, 50_000)
+                if ends == "client leaves":
+                    client.reset()
+                else:
+                    self.assertEqual((await client.answer()).status, 504)
+                await asyncio.sleep(0.1)
+                self.assertEqual((site.plane.budget.used, len(site.plane.front.requests)), (0, 0), ends)
+                site.close()
+        self.play(scene)
+
     def test_a_client_that_leaves_while_its_body_goes_out(self) -> None:
         async def scene() -> None:
             site = await Site(memory_mb=66).start(s1=plain)
