A configuration that may be out of date denies nobody; limits of clients narrow late

Causes, by order of events: 1. DENIED: a route or key is added, this edge has not heard of it for up to revoke_ms (without strict_revoke for ever), a request for it comes: 404 or 401, after which clients do not try again. Also for a request that had waited and found its route gone in a configuration that is out of date itself. Now 404 and 401 are told only where the configuration was confirmed to be the newest within a second, else 503 with Retry-After. 2. DENIED: before the first configuration the limits of the in-service sidecar held: 431 from 32 KiB on, 408 after 2.4 s. Now wide ones hold until there is a configuration, and the answer is 503. 3. A connection rests by idle_timeout_ms, a configuration with a shorter one comes, the client takes the connection up within four fifths of the former: it was closed. Now limits widen at once and narrow when no connection rests by the former ones. 4. A client connects, rests, and sends a request in two pieces: the time for the head, and for the body, counted from the connection on, 408. Now from the first byte on; a parameter of the listener, as before in service. 5. Between SIGTERM and the next turns of the loop readiness could still be 200. Now the signal's handler begins the shutdown; clients are listened for before signals are taken, so that there is something to end.

--- a/hollyport/http1/listener.py
+++ b/hollyport/http1/listener.py
@@ -41,6 +41,7 @@
     silent_s: float = field(default_factory=lambda: SILENT_S)
     keep_s: float = field(default_factory=lambda: KEEP_S)
     drain_s: float = field(default_factory=lambda: DRAIN_S)
+    whole_from_connect: bool = True  # whether a first request's time begins with its connection, else its first byte
 
 
 class Listener:
@@ -341,7 +342,7 @@
             place.pop(connection, None)
         connection.place = queue
         if queue is not None:
-            fresh = queue is self.partial and connection.fresh()
+            fresh = queue is self.partial and connection.fresh() and self.times.whole_from_connect
             queue[connection] = connection.accepted if fresh else self._loop.time()
 
     # --- time limits
--- a/rosechute/data/front.py
+++ b/rosechute/data/front.py
@@ -14,11 +14,11 @@
 from hollyport.http1.message import Headers, Message
 from rosechute.configuration.operator import Limits
 from rosechute.data.admission import REQUEST_ID, Admitted, Refusal
+from rosechute.data.client_limits import KEEP_SPARE_S, ClientLimits
 from rosechute.data.request import STOPPING_RETRY_S, ClientRequest
 
 METHODS = frozenset({b"GET", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"})
 CLOSING = frozenset({400, 408, 413, 417, 431})  # of our own answers: what follows a request like that is as bad
-KEEP_SPARE_S = 1.0  # an idle connection is kept so much longer than its client may use it
 IDLE_CLOSES_S = 2.2  # from the begin of the shutdown to the first close of what is idle: two failed readiness checks
 CROWD_SHARE = 0.75  # part of the connections from which on they are closed after their answers
 
@@ -34,7 +34,10 @@
     ) -> None:
         self._loop, self._admit, self._take = loop, admit, take
         self._terms = ClientTerms(methods=METHODS, own_paths=False, closing=CLOSING)
-        self._times = ListenerTimes(drain_s=IDLE_CLOSES_S)
+        self._times = ListenerTimes(drain_s=IDLE_CLOSES_S, whole_from_connect=False)
+        self._limits = ClientLimits()
+        self._limits_expire: asyncio.TimerHandle | None = None
+        self._enforce_limits()
         crowd = int(connections * CROWD_SHARE)
         self.listener = Listener(self, connections, crowd, budget, self._terms, self._times)
         self.requests: dict[Message, ClientRequest] = {}
@@ -57,8 +60,24 @@
         self.listener.resize(connections, int(connections * CROWD_SHARE))
 
     def apply_limits(self, limits: Limits) -> None:
-        """Other bounds on what clients may send from now on, also on connections that are open."""
-        terms, times = self._terms, self._times
+        """Other bounds on what clients may send, also on connections that are open. Narrower ones hold only once no
+        client goes by the former ones any more."""
+        expire_s = self._limits.change(limits, self._loop.time())
+        if self._limits_expire is not None:
+            self._limits_expire.cancel()
+            self._limits_expire = None
+        self._enforce_limits()
+        if expire_s:
+            self._limits_expire = self._loop.call_later(expire_s, self._former_limits_expire)
+
+    def _former_limits_expire(self) -> None:
+        """The last of the former limits hold no more."""
+        self._limits_expire = None
+        self._enforce_limits()
+
+    def _enforce_limits(self) -> None:
+        """Have the listener go by what holds now."""
+        limits, terms, times = self._limits.widest(self._loop.time()), self._terms, self._times
         terms.max_head = int(limits.max_header_bytes)
         terms.max_body = int(limits.max_body_bytes)
         terms.whole_s = limits.header_timeout_ms / 1e3
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -30,6 +30,7 @@
 LEAST_SOCKETS = 64  # descriptors that clients and servers get in any case
 LEASE_MARGIN_S = 0.3  # a request is sent no later than so long before the lease on the configuration ends
 LEASE_RETRY_S = 1.0  # when to come back where the lease has ended
+NEWEST_WITHIN_S = 1.0  # without a confirmation for so long there may be a newer configuration; one is due every 0.4 s
 STARTS_WITHIN_S = 2.0  # after a start of everything at once, configuration and lists are here within so long
 UNREADY_RETRY_S = 0.35  # when to come back at the earliest where they are not
 RETRY_SPREAD = 0.15  # part of such a time by which clients are spread
@@ -149,8 +150,7 @@
             return self._not_ready()
         admitted = in_force.admit(message, ticket, self.loop.time(), self._draw)
         if isinstance(admitted, Refusal):
-            # By a configuration that may be out of date nobody is told for good that there is no route or key.
-            return admitted if admitted.status == 400 or self._up_to_date() else self._not_ready()
+            return self._refusal(admitted)
         if in_force.needs_key(admitted.route) and not self._lease_holds():
             return self._not_ready()
         if admitted.service not in self._lists:
@@ -159,6 +159,15 @@
             return Refusal(503, STOPPING_RETRY_S)
         return admitted
 
+    def _refusal(self, refusal: Refusal) -> Refusal:
+        """A refusal by the configuration in force. While that may be out of date, nobody is told for good that there
+        is no such route or key: 503 may be tried again."""
+        return refusal if refusal.status == 400 or self._newest_in_force() else self._not_ready()
+
+    def _newest_in_force(self) -> bool:
+        """Whether no newer configuration than the one in force can have been acknowledged for more than a moment."""
+        return self._clock() - self._freshness.confirmed_at() < NEWEST_WITHIN_S
+
     def _not_ready(self) -> Refusal:
         """Come back when this edge is likely to know what it needs."""
         if self._freshness.confirmed_at() == -math.inf:
@@ -217,7 +226,7 @@
         if admitted.sequence != in_force.sequence:
             allowed = in_force.allows(admitted.host, admitted.path, admitted.key)
             if isinstance(allowed, Refusal):
-                return allowed
+                return self._refusal(allowed)
             if allowed[1] != admitted.tenant and _name(allowed[1]) != _name(admitted.tenant):
                 return Refusal(503, UNREADY_RETRY_S)  # the key is another tenant's by now
             admitted.sequence = in_force.sequence
--- a/rosechute/data/shutdown.py
+++ b/rosechute/data/shutdown.py
@@ -8,7 +8,7 @@
 from rosechute.data.admission import Admitted, answer_limit
 from rosechute.data.durations import RouteDurations
 from rosechute.data.front import Front
-from rosechute.data.request import RequestState
+from rosechute.data.request_state import UNSENT
 
 LEAST_S = 2.5  # for so long clients may come that were sent here before the process was seen not to be ready
 ANSWERED_SHARE = 0.9  # of the requests of a route that end within the time for which one is taken
@@ -19,7 +19,6 @@
 LAST_MOMENT_S = 0.15  # before the end of the time: what is still open is ended
 LET_READ_S = 0.3  # for so long at most clients that had their last answer are waited for
 LOOK_S = 0.02  # how often it is looked at whether all is done
-UNSENT = frozenset({RequestState.QUOTA, RequestState.WAITING, RequestState.CONNECTING})
 
 
 class Shutdown:
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -63,11 +63,11 @@
     async def run(self) -> None:
         """Until SIGTERM or SIGINT, and then until everything is answered."""
         loop = asyncio.get_running_loop()
+        await self._plane.start()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._ends.set)
+            loop.add_signal_handler(number, self.end)
         loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         runner = await self._listen_readiness()
-        await self._plane.start()
         await self._links.start()
         logger.info("edge {} takes clients at {}", self._settings.node_name, self._settings.listen.front)
         gc.enable()
@@ -76,12 +76,16 @@
         await self._ends.wait()
         logger.info("edge {} shuts down", self._settings.node_name)
         watching.cancel()
-        self._plane.begin_shutdown()
         self._links.leave()
         await self._plane.finish_shutdown()
         self._links.close()
         await runner.cleanup()
 
+    def end(self) -> None:
+        """Shut down. Not ready in this very turn: readiness may be asked before the next one."""
+        self._plane.begin_shutdown()
+        self._ends.set()
+
     def confirmed_at(self) -> float:
         """For the data plane: as of when the configuration in force was the newest one."""
         return -math.inf if self._failed_sequence else self._links.subscriber.confirmed_at
--- a/tests/fleet/test_processes_edge.py
+++ b/tests/fleet/test_processes_edge.py
@@ -98,6 +98,15 @@
         self.assertEqual(await self.status(), 503)
         self.assertEqual(await self.ends(), 0)
 
+    async def test_it_ends_by_signals_in_any_order_also_before_it_knows_anything(self) -> None:
+        await self.line("takes clients")
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            self.process.send_signal(number)
+        await self.line("shuts down")
+        self.assertEqual(await self.status(), 503)
+        self.process.send_signal(signal.SIGHUP)
+        self.assertEqual(await self.ends(), 0)
+
     async def test_settings_are_read_again(self) -> None:
         await self.line("takes clients")
         self.settings["seeds"] = ["127.0.0.7:1"]
