--- a/tests/fleet/distribution_checkers.py
+++ b/tests/fleet/distribution_checkers.py
@@ -1,5 +1,5 @@
-"""Checkers of a simulated deployment: of an edge before and after all that comes to it, of all edges now and then, and
-of every change that an edge puts in force."""
+"""Checkers of a simulated deployment: of an edge before and after all that comes to it, of all edges now and then,
+and of every change that an edge puts in force."""
 
 from __future__ import annotations
 
--- a/tests/fleet/distribution_day_world.py
+++ b/tests/fleet/distribution_day_world.py
@@ -15,8 +15,8 @@
 from rosechute.coordination.types import Timing
 
 from .distribution_machines import Machine, Process
-from .distribution_world import BOUNDS, BURST, RATE, TENANT, World
-from .quota_world import Counted, Limit, most_allowed
+from .distribution_world import TENANT, World
+from .quota_world import Counted, most_allowed
 
 TIMING = Timing()
 ROUND_S = 0.1  # of the core: leases, views, paths
@@ -31,6 +31,8 @@
 class DayWorld(World):
     """A deployment for the operators' worst days."""
 
+    request_tokens: tuple[int, ...] = REQUEST_TOKENS
+
     def __post_init__(self) -> None:
         self.view: list[Machine] = []
         self.granted_until = 0.0
@@ -183,14 +185,14 @@
 
     # quota
 
-    def press(self, demand: float) -> None:
-        """Clients ask for so many tokens a second, unevenly over the edges."""
-        weights = [self.random.choice((0.1, 1.0, 5.0)) for _ in self.edge]
+    def press(self, demand: float, even: bool = False) -> None:
+        """Clients ask for so many tokens a second, evenly over the edges or not."""
+        weights = [1.0 if even else self.random.choice((0.1, 1.0, 5.0)) for _ in self.edge]
         for machine, weight in zip(self.edge, weights, strict=True):
             self.demand[machine.name] = demand * weight / sum(weights)
 
     def _next_request(self, machine: Machine) -> None:
-        mean = sum(REQUEST_TOKENS) / len(REQUEST_TOKENS)
+        mean = sum(self.request_tokens) / len(self.request_tokens)
         rate = max(self.demand.get(machine.name, 0.0) / mean, LEAST_REQUESTS_PER_S)
 
         def request() -> None:
@@ -202,7 +204,7 @@
             self.at(self.random.expovariate(rate), request)
 
     def _request(self, process: Process) -> None:
-        tokens = self.random.choice(REQUEST_TOKENS)
+        tokens = self.random.choice(self.request_tokens)
         came = self.now
         self.counted.asked.append((came, tokens))
 
@@ -218,5 +220,5 @@
 
     def quota_excess(self) -> float:
         """By how many tokens any window exceeds the rule; none where it is not above 0."""
-        most = most_allowed(BOUNDS, Limit(RATE, BURST))
-        return self.counted.worst_excess(BOUNDS.quota_window_s, lambda _: most)
+        most = most_allowed(self.bounds, self.limit)
+        return self.counted.worst_excess(self.bounds.quota_window_s, lambda _: most)
--- a/tests/fleet/distribution_machines.py
+++ b/tests/fleet/distribution_machines.py
@@ -195,6 +195,11 @@
     def publisher(self) -> Any:
         return self._publisher
 
+    @property
+    def reading(self) -> bool:
+        """Whether a reading of the list is under way."""
+        return self._reading is not None
+
     def receive(self, connection: Any, data: bytes) -> None:
         """A message of an edge."""
         self._received(connection, Kind.DISTRIBUTION, data)
--- a/tests/fleet/distribution_world.py
+++ b/tests/fleet/distribution_world.py
@@ -36,6 +36,7 @@
 from .distribution_machines import Machine, Process, ProcessLoop, SimulatedCore, quota_issue_of
 from .distribution_network import Network
 from .distribution_timeline import Clock, Timeline
+from .quota_world import Limit
 
 FRESHNESS_INTERVAL_S = 0.15
 CORE_TICK_S = 0.1
@@ -43,10 +44,12 @@
 FIRST_PORTS = (7500, 7501)  # of core machines and edges
 SEEDS = 3
 PLATFORM_PAGES = 2
+PLATFORM_S = (0.002, 0.03)  # there and back, each
 BOUNDS = Bounds(quota_window_s=8.0, quota_overshoot=0.1, quota_slack=4_000.0)
 SERVICES = ("model", "listing")
 TENANT = "t"
-RATE, BURST = 20_000.0, 20_000.0  # of the tenant, in tokens
+RATE = 20_000.0  # of the tenant, in tokens a second
+LIMIT = Limit(RATE, RATE)
 
 
 def setUpModule() -> None:
@@ -72,6 +75,8 @@
     drift: float = 0.0  # by which two clocks run apart at most
     link_bytes_per_s: float = math.inf
     body_bytes: int = 200
+    bounds: Bounds = BOUNDS
+    limit: Limit = LIMIT  # of the tenant
     services: tuple[str, ...] = SERVICES  # that the platform's list names
     make_subscriber: Callable[[float, EdgeIdentity, int, list[str]], Subscriber] = Subscriber
 
@@ -90,6 +95,7 @@
         self.core_troubled_until = 0.0
         self.list_truth: list[tuple[float, int]] = [(-1.0, 0)]  # since when, version
         self.list_down = False
+        self.platform_s = PLATFORM_S
         self.members_changed = 0.0
         for machine in [*self.core, *self.edge]:
             self.at(self.random.uniform(0.0, 0.3), lambda machine=machine: self.start(machine))  # type: ignore[misc]
@@ -144,7 +150,7 @@
 
     def _start_core(self, process: Process) -> None:
         process.core = SimulatedCore(
-            process, BOUNDS, self._send_all, self._platform, PLATFORM_PAGES, self.random.random
+            process, self.bounds, self._send_all, self._platform, PLATFORM_PAGES, self.random.random
         )
         self.tell_core()
         if self.knows_commits(process.machine):
@@ -320,7 +326,8 @@
 
     def body(self, sequence: int) -> bytes:
         """The operator's JSON, a part of which can't be compressed."""
-        tenant = {"name": TENANT, "api_keys": ["k"], "rate_per_s": RATE, "burst": BURST, "unit": "token_stream"}
+        tenant = {"name": TENANT, "api_keys": ["k"], "rate_per_s": self.limit.rate, "burst": self.limit.burst}
+        tenant["unit"] = "token_stream"
         padding = random.Random(sequence).randbytes(self.body_bytes).hex()
         whole = {"config_version": sequence * 3, "routes": [], "services": [], "tenants": [tenant], "pad": padding}
         return json.dumps(whole).encode()
@@ -352,7 +359,7 @@
         self, process: Process, page: int, answered: Callable[[Sequence[Instance] | None], None]
     ) -> None:
         """A call for one page of the platform's list: one service on each."""
-        there, back = self.random.uniform(0.002, 0.03), self.random.uniform(0.002, 0.03)
+        there, back = self.random.uniform(*self.platform_s), self.random.uniform(*self.platform_s)
 
         def read() -> None:
             version = self.list_truth[-1][1]
@@ -438,6 +445,10 @@
 
     # questions of tests
 
+    def reading(self, machine: Machine) -> bool:
+        """Whether a core machine has called for the list."""
+        return machine.process is not None and machine.process.core is not None and machine.process.core.reading
+
     def subscriber(self, machine: Machine) -> Subscriber:
         assert machine.process is not None and machine.process.subscriber is not None
         return machine.process.subscriber
--- a/tests/fleet/test_distribution_clusters.py
+++ b/tests/fleet/test_distribution_clusters.py
@@ -26,6 +26,26 @@
     return next(machine for machine in world.edge if machine.name == name)
 
 
+def reading_under_way_while_another_machine_leads() -> World:
+    """The leader has called for the list; another machine leads for a moment and tells a newer one; the first leads
+    again, and then its old call is answered."""
+    world = calm(World(seed=44))
+    first, second = world.core[0], world.core[1]
+    while world.reading(first):
+        world.run(0.001)
+    world.platform_s = (0.25, 0.25)
+    while not world.reading(first):
+        world.run(0.001)
+    world.run(0.26)  # the call has been read at the platform, its answer is on the way
+    world.platform_s = (0.002, 0.002)
+    world.change_list()
+    world.elect(second)
+    world.run(0.12)
+    world.elect(first)
+    world.run(6.0)
+    return world
+
+
 class CalmTest(unittest.TestCase):
     def test_configuration_and_lists_reach_everybody(self) -> None:
         world = calm(World(seed=1))
@@ -250,6 +270,9 @@
             world.run(0.4 + 0.2 * (turn % 4))
         world.run(8.0)
 
+    def test_a_reading_under_way_while_another_machine_leads(self) -> None:
+        reading_under_way_while_another_machine_leads()
+
     def test_edges_stay_fresh_while_there_is_no_leader(self) -> None:
         world = calm(World(seed=42))
         world.elect(None)
--- /dev/null
+++ b/tests/fleet/test_distribution_days.py
@@ -0,0 +1,215 @@
+"""The operators' worst days on the simulated deployment: a fixed share of the random ones, and forced schedules."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from rosechute.configuration.process import Bounds
+from tests.fleet.distribution_day_world import DayWorld
+from tests.fleet.distribution_days import DRIFT, play
+from tests.fleet.distribution_machines import Machine
+from tests.fleet.distribution_world import setUpModule, tearDownModule  # noqa: F401
+from tests.fleet.quota_world import Limit
+
+SEEDS = range(10)
+PAST_LEASES_S = 6.0  # of edges, quota and rate
+LONG_CUT_S = 22.0
+# A quota that is leased for the most part, and whose rule leaves little room.
+SMALL: dict[str, Any] = {
+    "limit": Limit(1_000.0, 1_000.0),
+    "bounds": Bounds(quota_window_s=8.0, quota_overshoot=0.1, quota_slack=100.0),
+    "request_tokens": (5, 10, 20),
+}
+
+
+def started(seed: int, **options: Any) -> tuple[DayWorld, Machine]:
+    """A deployment in use, and its leader."""
+    world = DayWorld(seed=seed, drift=DRIFT, **options)
+    world.run(3.0)
+    world.commit()
+    world.change_list()
+    world.press(2.0 * world.limit.rate)
+    world.run(6.0)
+    assert world.leader is not None
+    return world, world.leader
+
+
+def leaders_in_turn(seed: int) -> DayWorld:
+    """The lease goes from machine to machine, while clients ask for six times the quota."""
+    world, _ = started(seed, **SMALL)
+    world.press(6.0 * world.limit.rate)
+    world.run(4.0)
+    for _ in range(10):
+        world.resign()
+        world.run(0.8)
+    return world
+
+
+def cut_off_with_leases(seed: int) -> DayWorld:
+    """In turn half of the edges are cut off and spend their leases, while another machine leads the others."""
+    world, _ = started(seed, **SMALL)
+    for turn in range(4):
+        world.press(0.8 * world.limit.rate, even=True)
+        world.run(8.0)
+        world.cut(world.edge[turn % 2 :: 2], world.core, 4.5)
+        world.press(6.0 * world.limit.rate, even=True)
+        world.resign()
+        world.run(6.0)
+    return world
+
+
+def cut_off_with_the_leader(seed: int) -> DayWorld:
+    """The leader is cut off with half of the edges for long, and all are asked for six times the quota."""
+    world, leader = started(seed, **SMALL)
+    aside = [leader, *world.edge[:3]]
+    world.press(6.0 * world.limit.rate, even=True)
+    world.cut(aside, [one for one in [*world.core, *world.edge] if one not in aside], LONG_CUT_S)
+    world.run(LONG_CUT_S + 8.0)
+    return world
+
+
+class QuotaTest(unittest.TestCase):
+    def test_leaders_in_turn(self) -> None:
+        self.assertLessEqual(leaders_in_turn(41).quota_excess(), 0.0)
+
+    def test_edges_cut_off_with_the_leader(self) -> None:
+        self.assertLessEqual(cut_off_with_the_leader(44).quota_excess(), 0.0)
+
+    def test_edges_cut_off_with_their_leases(self) -> None:
+        self.assertLessEqual(cut_off_with_leases(47).quota_excess(), 0.0)
+
+
+class DaysTest(unittest.TestCase):
+    def test_random_days(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                play(seed)
+
+
+class CutOffLeaderTest(unittest.TestCase):
+    """The leader is cut off from the core for 22 s, and the operator goes on at the others."""
+
+    def others(self, world: DayWorld, machine: Machine) -> list[Machine]:
+        return [one for one in world.core if one is not machine]
+
+    def use(self, world: DayWorld, seconds: float) -> None:
+        for _ in range(int(seconds)):
+            if world.core_works():
+                world.commit()
+            world.change_list()
+            world.run(1.0)
+
+    def assert_kept(self, world: DayWorld) -> None:
+        world.run(8.0)
+        self.assertLessEqual(world.quota_excess(), 0.0)
+        self.assertTrue(all(world.in_touch(machine) for machine in world.edge))
+        self.assertEqual({one.process.configuration for one in world.edge if one.process}, {world.committed[-1][2]})
+
+    def test_edges_still_reach_it(self) -> None:
+        world, leader = started(1)
+        world.cut([leader], self.others(world, leader), LONG_CUT_S)
+        world.run(4.0)
+        self.assertTrue(all(world.in_touch(machine) for machine in world.edge))  # the rules bind all the while
+        self.assertIsNot(world.leader, leader)
+        self.use(world, LONG_CUT_S)
+        self.assert_kept(world)
+
+    def test_edges_are_cut_off_with_it(self) -> None:
+        world, leader = started(2)
+        aside = world.edge[:3]
+        world.cut([leader, *aside], [*self.others(world, leader), *world.edge[3:]], LONG_CUT_S)
+        self.use(world, 8.0)
+        served = world.counted.share_served(world.now - 1.0, world.now)
+        self.assertGreater(served, 0.0)
+        for machine in aside:
+            self.assertGreater(world.confirmed_age(machine), PAST_LEASES_S)  # keys are refused there by now
+            self.assertEqual(machine.process.quota._wallet.held(machine.process.local_now(), "t"), 0)  # type: ignore[union-attr]
+        self.use(world, LONG_CUT_S - 8.0)
+        self.assert_kept(world)
+
+    def test_it_is_cut_off_one_way(self) -> None:
+        for seed, hears in ((3, True), (4, False)):
+            world, leader = started(seed)
+            sources, targets = [leader], self.others(world, leader)
+            world.cut(targets if hears else sources, sources if hears else targets, LONG_CUT_S, both=False)
+            self.use(world, LONG_CUT_S)
+            self.assertIsNot(world.leader, leader)
+            self.assert_kept(world)
+
+    def test_it_is_cut_off_from_the_edges_only(self) -> None:
+        """It holds the lease and nobody hears of it: edges are fresh by the others, and lists stand still."""
+        world, leader = started(5)
+        world.cut([leader], world.edge, 8.0)
+        self.use(world, 8.0)
+        for machine in world.edge:
+            self.assertLess(world.confirmed_age(machine), 1.5)
+        self.assert_kept(world)
+
+
+class FrozenTest(unittest.TestCase):
+    def test_a_leader_wakes_after_its_lease_with_requests_in_its_buffers(self) -> None:
+        for seed, seconds in ((11, 1.15), (12, 1.6), (13, 4.0), (14, 20.0)):
+            world, leader = started(seed)
+            world.freeze(leader, seconds)
+            for _ in range(int(seconds) + 3):
+                if world.core_works():
+                    world.commit()
+                world.change_list()
+                world.run(1.0)
+            world.run(8.0)
+            self.assertLessEqual(world.quota_excess(), 0.0)
+
+    def test_an_edge_wakes_with_requests_that_it_read_before(self) -> None:
+        world, _ = started(15)
+        frozen = world.edge[0]
+        world.freeze(frozen, 20.0)
+        world.run(1.0)
+        world.commit()
+        world.run(18.99)
+        self.assertGreater(world.confirmed_age(frozen), 4.7)
+        world.run(8.0)  # the checker asks the lease as soon as it wakes, before anything else is done
+        self.assertLessEqual(world.quota_excess(), 0.0)
+
+
+class ReplacedTest(unittest.TestCase):
+    def test_every_core_machine_is_replaced_and_edges_follow(self) -> None:
+        world, _ = started(21)
+        for machine in list(world.core):
+            world.replace(machine)
+            world.run(6.0)
+            world.commit()
+        world.run(6.0)
+        known = {one.address for one in world.core if not one.removed}
+        for machine in world.edge:
+            self.assertIn(world.subscriber(machine).leader, known)
+            self.assertLessEqual(known, world.subscriber(machine).addresses())
+
+    def test_all_of_the_core_restarts(self) -> None:
+        world, _ = started(22)
+        for machine in world.core:
+            world.kill(machine, restart_after=0.9)
+        world.run(4.0)
+        world.commit()
+        world.run(8.0)
+        self.assertTrue(all(world.in_touch(machine) for machine in world.edge))
+        self.assertLessEqual(world.quota_excess(), 0.0)
+
+
+class ManyChangesTest(unittest.TestCase):
+    def test_hundreds_of_changes_between_losses(self) -> None:
+        world, _ = started(31)
+        for turn in range(4):
+            for _ in range(60):
+                if world.core_works():
+                    world.commit()
+                world.run(0.05)
+            machine = world.leader if turn % 2 and world.leader is not None else world.core[turn % 3]
+            world.kill(machine, restart_after=0.8)
+            world.run(3.0)
+        world.run(6.0)
+        self.assertGreater(world.committed[-1][2], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/fleet/test_distribution_fencing.py
@@ -0,0 +1,329 @@
+"""Each guard that fences what acts for the core outside of it, taken away: a test by name must fail without it.
+
+The table of docs/fleet/guarantees-fencing.md names the same tests.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import io
+import logging
+import unittest
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest import mock
+
+from rosechute.control import quota, rate_leases
+from rosechute.control.core_machine import CoreMachine
+from rosechute.control.list_reader import ListReader
+from rosechute.control.quota_service import QuotaService
+from rosechute.data.plane import DataPlane
+from rosechute.distribution import confirmation, publisher, store
+from rosechute.distribution.catch_up import CatchUp
+from rosechute.distribution.leader_search import LeaderSearch
+from rosechute.distribution.publisher import Publisher
+from rosechute.distribution.store import Taken, TopicStore
+from rosechute.routing import rate_lease
+from rosechute.routing.quota_wallet import QuotaWallet
+from tests.fleet.distribution_world import setUpModule, tearDownModule  # noqa: F401
+
+Plant = Callable[[], AbstractContextManager[Any]]
+
+ORDERS = "tests.fleet.test_distribution_orders"
+DAYS = "tests.fleet.test_distribution_days"
+LEASES = "tests.fleet.test_quota_leases"
+READER = "tests.fleet.test_control_list_reader.ListReaderTest"
+CORE = "tests.fleet.test_control_core_machine.CoreMachineTest"
+TERMS = "tests.fleet.test_data_terms"
+
+
+def fails(name: str) -> bool:
+    """Whether the test of this name fails; it must exist. What it leaves behind is told to nobody."""
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    logging.disable()
+    with contextlib.redirect_stderr(io.StringIO()):
+        result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+        gc.collect()
+    logging.disable(logging.NOTSET)
+    if result.testsRun != 1 or result.errors:
+        raise LookupError(f"{name}: {result.testsRun} tests, {result.errors}")
+    return bool(result.failures)
+
+
+def lease_is_not_asked_before_an_answer() -> AbstractContextManager[Any]:
+    original = CoreMachine._inform_publisher
+
+    def inform(self: CoreMachine, now: float, replica: Any) -> None:
+        with mock.patch.object(replica, "is_leader", lambda at: True):
+            original(self, now, replica)
+
+    return mock.patch.object(CoreMachine, "_inform_publisher", inform)
+
+
+def reading_of_another_term_counts() -> AbstractContextManager[Any]:
+    original = ListReader.__init__
+
+    def initialise(self: ListReader, fetch: Any, rate: Any, held_term: Any, *others: Any) -> None:
+        original(self, fetch, rate, lambda: None if held_term() is None else 1, *others)
+
+    return mock.patch.object(ListReader, "__init__", initialise)
+
+
+def reading_counts_without_the_lease() -> AbstractContextManager[Any]:
+    original = ListReader.__init__
+
+    def initialise(self: ListReader, fetch: Any, rate: Any, held_term: Any, *others: Any) -> None:
+        original(self, fetch, rate, lambda: 1, *others)
+
+    return mock.patch.object(ListReader, "__init__", initialise)
+
+
+def lists_of_earlier_terms_are_told() -> AbstractContextManager[Any]:
+    return mock.patch.object(Publisher, "_current", lambda self, topic: self._store.get(topic))
+
+
+def a_follower_gives_tokens() -> AbstractContextManager[Any]:
+    def answer(self: Any, now: float, connection: Any, request: Any) -> list[Any]:
+        issue = self._on_quota(now, request)
+        return [publisher.Send(connection, publisher.pb.Distribution(quota_issue=issue))] if issue else []
+
+    return mock.patch.object(Publisher, "_quota", answer)
+
+
+def members_of_an_earlier_term_are_kept() -> AbstractContextManager[Any]:
+    original = Publisher.lease_gained
+
+    def gained(self: Any, now: float, term: int) -> list[Any]:
+        kept = self._membership
+        told = original(self, now, term)
+        self._membership = kept
+        return told
+
+    return mock.patch.object(Publisher, "lease_gained", gained)
+
+
+def answers_of_older_terms_are_followed() -> AbstractContextManager[Any]:
+    def is_leader(self: LeaderSearch, now: float, address: str, term: int) -> bool:
+        self._to_attached(now, address, term)
+        return True
+
+    return mock.patch.object(LeaderSearch, "is_leader", is_leader)
+
+
+def news_of_older_leaders_are_asked() -> AbstractContextManager[Any]:
+    def leads_now(self: LeaderSearch, now: float, address: str, term: int) -> None:
+        self._named, self._next_at = address, now
+
+    return mock.patch.object(LeaderSearch, "leads_now", leads_now)
+
+
+def unasked_answers_confirm() -> AbstractContextManager[Any]:
+    return mock.patch.object(LeaderSearch, "answered", lambda self, now, address, request: now)
+
+
+def confirmed_when_the_answer_came() -> AbstractContextManager[Any]:
+    def told(self: Any, sent_at: float, sequence: int, age_s: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    return mock.patch.object(confirmation.Confirmation, "told", told)
+
+
+def confirmed_whatever_is_held() -> AbstractContextManager[Any]:
+    def told(self: Any, sent_at: float, sequence: int, age_s: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, sent_at - age_s)
+
+    return mock.patch.object(confirmation.Confirmation, "told", told)
+
+
+def a_core_machine_tells_no_age() -> AbstractContextManager[Any]:
+    original = Publisher._answer
+
+    def answer(self: Any, now: float, renew: Any) -> Any:
+        told = original(self, now, renew)
+        told.config_age_ms = 0
+        return told
+
+    return mock.patch.object(Publisher, "_answer", answer)
+
+
+def older_configurations_are_taken() -> AbstractContextManager[Any]:
+    def take(self: Any, update: Any) -> Taken:
+        configuration = store.decode_configuration(update)
+        assert configuration is not None
+        self._values[configuration.topic] = configuration
+        return Taken.NEWER
+
+    return mock.patch.object(TopicStore, "take_configuration", take)
+
+
+def older_lists_are_taken() -> AbstractContextManager[Any]:
+    original = TopicStore.take_list
+
+    def take(self: Any, update: Any, now: float) -> Taken:
+        self._values.pop(f"list/{update.position.service}", None)
+        return original(self, update, now)
+
+    return mock.patch.object(TopicStore, "take_list", take)
+
+
+def the_edge_forgets_its_lease() -> AbstractContextManager[Any]:
+    return mock.patch.object(DataPlane, "_lease_holds", lambda self: True)
+
+
+def tokens_live_from_when_they_came() -> AbstractContextManager[Any]:
+    original = QuotaWallet._issued
+
+    def issued(self: Any, now: float, sent_at: float, state: Any, issue: Any) -> Any:
+        return original(self, now, now, state, issue)
+
+    return mock.patch.object(QuotaWallet, "_issued", issued)
+
+
+def any_answer_grants() -> AbstractContextManager[Any]:
+    original = QuotaWallet.granted
+
+    def granted(self: Any, now: float, request: int, term: int, grants: Any) -> Any:
+        return original(self, now, self._report, term, grants)
+
+    return mock.patch.object(QuotaWallet, "granted", granted)
+
+
+def reports_of_any_term_are_taken() -> AbstractContextManager[Any]:
+    original = QuotaService._renew
+
+    def renew(self: Any, now: float, request: Any, issue: Any) -> None:
+        request.term = self._term
+        original(self, now, request, issue)
+
+    return mock.patch.object(QuotaService, "_renew", renew)
+
+
+def overtaken_reports_are_taken() -> AbstractContextManager[Any]:
+    original = quota.QuotaIssuer.renew
+
+    def renew(self: Any, now: float, holder: Any, number: int, reports: Any) -> Any:
+        self._newest_reports.clear()
+        return original(self, now, holder, number, reports)
+
+    return mock.patch.object(quota.QuotaIssuer, "renew", renew)
+
+
+def a_restarted_edge_is_the_same_holder() -> AbstractContextManager[Any]:
+    original = rate_leases.RateLeases.report
+
+    def report(self: Any, now: float, holder: Any, told: Any) -> Any:
+        return original(self, now, rate_leases.Holder(holder.edge, 0), told)
+
+    return mock.patch.object(rate_leases.RateLeases, "report", report)
+
+
+def a_new_leader_takes_it_that_nothing_is_leased() -> AbstractContextManager[Any]:
+    original = quota.QuotaIssuer.lease_gained
+
+    def gained(self: Any, now: float, late_from: float, known_from: float) -> None:
+        original(self, now, now, now)
+
+    return mock.patch.object(quota.QuotaIssuer, "lease_gained", gained)
+
+
+def a_new_leader_starts_with_full_buckets() -> AbstractContextManager[Any]:
+    original = quota.QuotaIssuer._bucket
+
+    def bucket(self: Any, now: float, tenant: str, limit: Any) -> Any:
+        known = tenant in self._buckets
+        found = original(self, now, tenant, limit)
+        if not known:
+            found.level = found.capacity
+        return found
+
+    return mock.patch.object(quota.QuotaIssuer, "_bucket", bucket)
+
+
+def a_rate_lease_never_ends() -> AbstractContextManager[Any]:
+    original = rate_lease.RateLease.advance
+
+    def advance(self: Any, now: float) -> None:
+        if self.rate > 0.0:
+            self.until = max(self.until, now + 1.0)
+        original(self, now)
+
+    return mock.patch.object(rate_lease.RateLease, "advance", advance)
+
+
+def core_machines_at_new_addresses_are_not_learnt() -> AbstractContextManager[Any]:
+    return mock.patch.object(LeaderSearch, "set_core", lambda self, addresses: None)
+
+
+def what_is_behind_is_not_fetched() -> AbstractContextManager[Any]:
+    return mock.patch.object(CatchUp, "told", lambda self, *told: None)
+
+
+GUARDS: tuple[tuple[Plant, str], ...] = (
+    (lease_is_not_asked_before_an_answer, f"{CORE}.test_after_a_freeze_no_answer_as_leader_and_no_tokens"),
+    (reading_of_another_term_counts, f"{READER}.test_a_reading_that_began_in_an_earlier_term_does_not_count"),
+    (reading_counts_without_the_lease, f"{READER}.test_a_reading_counts_only_if_the_lease_still_holds"),
+    (
+        lists_of_earlier_terms_are_told,
+        f"{ORDERS}.EarlierTermTest.test_a_list_of_an_earlier_term_is_given_to_no_subscriber",
+    ),
+    (
+        lists_of_earlier_terms_are_told,
+        f"{ORDERS}.EarlierTermTest.test_a_list_of_an_earlier_term_is_neither_fetched_nor_told",
+    ),
+    (a_follower_gives_tokens, f"{CORE}.test_after_a_freeze_no_answer_as_leader_and_no_tokens"),
+    (
+        members_of_an_earlier_term_are_kept,
+        f"{ORDERS}.EarlierTermTest.test_the_members_of_an_earlier_term_are_forgotten",
+    ),
+    (answers_of_older_terms_are_followed, f"{ORDERS}.LeaderTermTest.test_a_leader_of_an_older_term_is_not_followed"),
+    (news_of_older_leaders_are_asked, f"{ORDERS}.LeaseChangeTest.test_an_older_term_is_not_asked"),
+    (
+        unasked_answers_confirm,
+        f"{ORDERS}.ConfirmationTest.test_a_late_answer_to_an_older_renewal_moves_nothing_forward",
+    ),
+    (
+        confirmed_when_the_answer_came,
+        f"{ORDERS}.ConfirmationTest.test_an_answer_confirms_as_of_its_renewal_less_its_age",
+    ),
+    (confirmed_whatever_is_held, f"{ORDERS}.ConfirmationTest.test_nothing_is_confirmed_while_a_newer_one_is_missing"),
+    (a_core_machine_tells_no_age, f"{CORE}.test_a_leader_answers_as_one"),
+    (a_core_machine_tells_no_age, f"{DAYS}.CutOffLeaderTest.test_edges_are_cut_off_with_it"),
+    (older_configurations_are_taken, f"{DAYS}.ManyChangesTest.test_hundreds_of_changes_between_losses"),
+    (older_lists_are_taken, f"{ORDERS}.ListOrderTest.test_an_older_snapshot_changes_nothing"),
+    (the_edge_forgets_its_lease, f"{TERMS}.Keys.test_a_request_that_waited_is_not_sent_once_the_lease_has_ended"),
+    (
+        tokens_live_from_when_they_came,
+        "tests.fleet.test_distribution_wallet.WalletTest.test_tokens_are_void_a_lifetime_after_the_ask",
+    ),
+    (any_answer_grants, f"{LEASES}.ReportTest.test_only_the_answer_to_the_newest_report_counts"),
+    (reports_of_any_term_are_taken, f"{LEASES}.ReportTest.test_a_report_of_another_term_is_told_the_term_only"),
+    (overtaken_reports_are_taken, f"{LEASES}.NewLeaderTest.test_a_report_that_was_overtaken_tells_nothing"),
+    (a_restarted_edge_is_the_same_holder, f"{LEASES}.LeaderLeasesTest.test_a_restarted_edge_is_another_holder"),
+    (
+        a_new_leader_takes_it_that_nothing_is_leased,
+        f"{LEASES}.NewLeaderTest.test_until_leases_are_known_only_the_part_that_is_never_leased",
+    ),
+    (
+        a_new_leader_starts_with_full_buckets,
+        f"{LEASES}.NewLeaderTest.test_until_leases_are_known_only_the_part_that_is_never_leased",
+    ),
+    (a_rate_lease_never_ends, f"{LEASES}.EdgeLeaseTest.test_the_end_takes_the_store_too"),
+    (
+        core_machines_at_new_addresses_are_not_learnt,
+        f"{DAYS}.ReplacedTest.test_every_core_machine_is_replaced_and_edges_follow",
+    ),
+    (what_is_behind_is_not_fetched, "tests.fleet.test_distribution_clusters.HomeTest.test_a_home_dies"),
+)
+
+
+class GuardsTest(unittest.TestCase):
+    def test_without_each_guard_a_test_by_name_fails(self) -> None:
+        for plant, name in GUARDS:
+            with self.subTest(without=plant.__name__, test=name.rsplit(".", 1)[-1]), plant():
+                self.assertTrue(fails(name), "nothing failed")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fleet/test_distribution_orders.py
+++ b/tests/fleet/test_distribution_orders.py
@@ -390,6 +390,17 @@
         answer = self.publisher.receive(60.1, "c", pb.Distribution(renew=renew))
         self.assertEqual(list(sent(answer, "renewed")[0][1].renewed.lists), [])
 
+    def test_the_members_of_an_earlier_term_are_forgotten(self) -> None:
+        """Whoever lives renews at the new leader; nobody is counted twice or after its end."""
+        renew = pb.Renew(request=1, edge=pb.Edge(name="e1", zone="z", address="a"), boot=1)
+        self.publisher.receive(60.1, "c", pb.Distribution(renew=renew))
+        self.assertEqual(self.publisher.edges_total(61.5), 1)
+        self.publisher.lease_lost(61.6)
+        self.assertEqual(self.publisher.edges_total(61.6), 0)
+        self.publisher.lease_gained(62.0, 8)
+        self.assertEqual(self.publisher.edges_total(62.5), 0)  # not known yet
+        self.assertEqual(self.publisher.edges_total(63.1), 0)
+
     def test_who_subscribed_before_the_first_reading_is_sent_it(self) -> None:
         renew = pb.Renew(request=1, edge=pb.Edge(name="e1", zone="z", address="a"), boot=1)
         self.publisher.receive(60.0, "c", pb.Distribution(renew=renew))
--- a/tests/fleet/test_distribution_planted.py
+++ b/tests/fleet/test_distribution_planted.py
@@ -5,14 +5,24 @@
 import math
 import unittest
 from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
+from rosechute.control import list_reader, quota
 from rosechute.distribution import catch_up, confirmation, home_links, membership, publisher, store, values
 from rosechute.distribution.store import Taken
 from tests.fleet.distribution_checkers import Checkers
+from tests.fleet.distribution_days import play as play_day
+from tests.fleet.distribution_machines import ScriptedReplica
 from tests.fleet.distribution_timeline import RuleBroken
 from tests.fleet.distribution_world import World, setUpModule, tearDownModule  # noqa: F401
-from tests.fleet.test_distribution_clusters import calm, home_of, random_day
+from tests.fleet.test_distribution_clusters import (
+    calm,
+    home_of,
+    random_day,
+    reading_under_way_while_another_machine_leads,
+)
+from tests.fleet.test_distribution_days import cut_off_with_the_leader, leaders_in_turn
 
 SEEDS = range(100, 112)
 
@@ -22,11 +32,11 @@
         with self.assertRaisesRegex(RuleBroken, what):
             play()
 
-    def found_on_some_day(self, what: str) -> None:
+    def found_on_some_day(self, what: str, day: Callable[[int], object] = random_day) -> None:
         found = []
         for seed in SEEDS:
             try:
-                random_day(seed)
+                day(seed)
             except RuleBroken as broken:
                 found.append(str(broken))
                 if what in found[-1]:
@@ -131,6 +141,47 @@
         with mock.patch.object(publisher.Publisher, "_take_reading", take_reading):
             self.found(play, "is behind")
 
+    def test_a_reading_counts_for_a_later_term(self) -> None:
+        original = list_reader.ListReader.__init__
+
+        def initialise(self: Any, fetch: Any, rate: Any, held_term: Any, *rest: Any) -> None:
+            original(self, fetch, rate, lambda: None if held_term() is None else 1, *rest)
+
+        with mock.patch.object(list_reader.ListReader, "__init__", initialise):
+            self.found(reading_under_way_while_another_machine_leads, "an older reading")
+
+    def test_a_machine_that_is_cut_off_says_that_it_is_fresh(self) -> None:
+        def freshness(self: ScriptedReplica, now: float) -> tuple[int, float] | None:
+            return None if self.fresh is None else (self.fresh[0], 0.0)
+
+        with mock.patch.object(ScriptedReplica, "freshness", freshness):
+            self.found_on_some_day("confirmed after a newer acknowledgement", play_day)
+            with mock.patch.object(Checkers, "_check_confirmed", lambda self, process: None):
+                self.found_on_some_day("a request was run with a revoked key", play_day)
+
+    def test_a_new_leader_begins_with_full_buckets(self) -> None:
+        original = quota.QuotaIssuer._bucket
+
+        def bucket(self: quota.QuotaIssuer, now: float, tenant: str, limit: quota.TenantLimit) -> quota._Bucket:
+            known = tenant in self._buckets
+            found = original(self, now, tenant, limit)
+            found.level = found.level if known else found.capacity
+            return found
+
+        with mock.patch.object(quota.QuotaIssuer, "_bucket", bucket):
+            self.assertGreater(leaders_in_turn(41).quota_excess(), 0.0)
+
+    def test_a_machine_that_leads_no_more_answers_on(self) -> None:
+        """The lease is not asked before an answer, and its end is not noticed."""
+
+        def holds(self: ScriptedReplica, now: float) -> bool:
+            return self.lease_until > -math.inf
+
+        with mock.patch.object(ScriptedReplica, "is_leader", holds):
+            self.found(lambda: cut_off_with_the_leader(47), "edges told")
+            with mock.patch.object(Checkers, "_check_total", lambda self, process: None):
+                self.assertGreater(cut_off_with_the_leader(47).quota_excess(), 0.0)
+
     def test_leases_never_end(self) -> None:
         def play() -> None:
             world = calm(World(seed=1))
