--- a/rosechute/coordination/detector.py
+++ b/rosechute/coordination/detector.py
@@ -49,10 +49,11 @@
         peer = self.peers.get(identity.id)
         if peer is None:
             peer = self.peers[identity.id] = Peer(identity, boot, beat, now, NEVER, NEVER)
-        elif boot in peer.past_boots:
+        elif boot in peer.past_boots and now - peer.heard <= self._unreached_after():
             return peer  # a late one of a process that has ended
         elif boot != peer.boot:
             peer.past_boots.add(peer.boot)
+            peer.past_boots.discard(boot)
             peer.boot, peer.healthy = boot, False
             peer.echo = peer.answered = NEVER
         elif beat.stamp < peer.beat.stamp:
@@ -64,6 +65,14 @@
         self._judge(now, peer)
         return peer
 
+    def _unreached_after(self) -> float:
+        """Silence after which a machine counts as not reached.
+
+        A process that was taken for an ended one is heard again after such a silence of its supposed successor: bytes
+        of a process that has ended may come after those of the one that runs. They end, and that one goes on.
+        """
+        return self.timing.suspect + self.timing.heartbeat
+
     def awoke(self, gap: float) -> None:
         """This machine had not run for a while: that time counts for nobody's silence."""
         for peer in self.peers.values():
@@ -97,7 +106,7 @@
         peer = self.peers.get(machine_id)
         if peer is None:
             return False
-        return now - peer.answered <= self.timing.suspect + self.timing.heartbeat
+        return now - peer.answered <= self._unreached_after()
 
     def reached(self, now: float) -> list[str]:
         """The machines from which answers come."""
