Direct tests of the leader's buckets and rate leases, the operator's API and the replica's runtime

Each margin of the quotas has a test of its own now: a new term's empty bucket, the cautious rate until earlier leases have run out, outstanding tokens, the deposit, what a report takes over, the drift of clocks, the word that nothing is leased.

--- /dev/null
+++ b/tests/fleet/test_planted_control_quota.py
@@ -0,0 +1,683 @@
+"""The leader's buckets and rate leases, the operator's API and the runtime of a replica, part by part."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+from loguru import logger
+from returns.result import Failure, Success
+
+from rosechute.configuration.process import Bounds
+from rosechute.control import operator_api, quota
+from rosechute.control.operator_api import OperatorApi
+from rosechute.control.orders import order_digest
+from rosechute.control.quota import LIFETIME_S, QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+from rosechute.control.quota_service import QuotaService
+from rosechute.control.rate_leases import (
+    ACTIVE_S,
+    BARE_S,
+    DRIFT,
+    FULL_REACH_S,
+    FULL_S,
+    LATE_SHARE,
+    LEASE_S,
+    REACH_S,
+    Holder,
+    LeaseTotals,
+    RateLeases,
+    fair_level,
+)
+from rosechute.control.replica_runtime import LOG_LIMIT_BYTES, ReplicaRuntime
+from rosechute.coordination import types as core
+from rosechute.messages import distribution_pb2 as pb
+from rosechute.messages.coordination_pb2 import CoreMessage
+from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport
+from rosechute.storage.problems import StorageProblem
+
+A, B = Holder("a", 1), Holder("b", 1)
+TOTALS = LeaseTotals(900.0, 3000.0)
+
+
+def setUpModule() -> None:
+    logger.disable("rosechute.control")  # what is played here would be told at length
+
+
+def tearDownModule() -> None:
+    logger.enable("rosechute.control")
+
+
+def report(demand: float = 900.0, held: LeaseGrant | None = None, remaining_s: float = LEASE_S, **more: Any) -> Any:
+    rate, depth = (held.rate, held.depth) if held is not None else (0.0, 0.0)
+    return LeaseReport("t", rate, depth, remaining_s if held else 0.0, more.pop("stored", 0.0), demand, 10.0, **more)
+
+
+class Constants(unittest.TestCase):
+    """Times and shares that others are reckoned from."""
+
+    def test_what_the_rules_allow_is_shared_out_once(self) -> None:
+        self.assertLessEqual(quota.EMERGENCY_SHARE + quota.KEPT_SHARE, 1.0)
+        self.assertGreater(quota.EMERGENCY_SHARE, 0.0)
+        self.assertLess(quota.LEASED_SHARE, 1.0)
+
+    def test_a_new_leader_waits_for_longer_than_a_lease_runs(self) -> None:
+        self.assertGreaterEqual(REACH_S, LEASE_S * 1.005)
+        self.assertGreaterEqual(FULL_REACH_S, FULL_S * 1.005)
+        self.assertLess(FULL_S, LEASE_S)
+        self.assertLessEqual(BARE_S, REACH_S)
+        self.assertGreater(BARE_S, 10 * 0.1)
+
+    def test_lifetimes(self) -> None:
+        self.assertLess(quota.SHORTEST_LIFETIME_S, LIFETIME_S)
+        self.assertGreater(quota.SHORTEST_LIFETIME_S, 0.1)
+        self.assertGreater(quota.ASKED_S, LIFETIME_S)
+        self.assertGreater(quota.LONGEST_STORE_S, 1.0)
+
+    def test_an_answer_comes_before_the_operator_moves_on(self) -> None:
+        self.assertLess(operator_api.ANSWER_WITHIN_S, 1.0)
+        self.assertGreater(operator_api.ANSWER_WITHIN_S, operator_api.SHORTEST_WAIT_S)
+        self.assertGreater(operator_api.SHORTEST_WAIT_S, 0.2)
+        self.assertGreater(operator_api.RETRY_AFTER_S, 0.05)
+
+
+class IssuerTest(unittest.TestCase):
+    """The bucket: it begins empty, never holds more than its capacity, and counts what is outstanding."""
+
+    def setUp(self) -> None:
+        self.issuer = QuotaIssuer(QuotaBounds(8.0, 0.1, 0.0))
+        self.lead(0.0)
+        self.configure(0.0, TenantLimit(1000.0, 1000.0))
+
+    def lead(self, now: float, late_from: float = 0.0, known_from: float = 0.0) -> None:
+        self.issuer.lease_gained(now, late_from, known_from)
+
+    def configure(self, now: float, limit: TenantLimit | None) -> None:
+        self.issuer.configure(now, {"t": limit})
+
+    def issue(self, now: float, tokens: int = 10, least: int = 0, edge: str = "e") -> Any:
+        return self.issuer.issue(now, edge, [Wanted("t", tokens, least or tokens)])[0]
+
+    def all_of(self, now: float, size: int = 10) -> int:
+        """All that the bucket gives at a moment."""
+        total = 0
+        while tokens := self.issue(now, size, edge=f"e{total}").tokens:
+            total += tokens
+        return total
+
+    def bucket(self, now: float) -> Any:
+        return self.issuer._bucket(now, "t", TenantLimit(1000.0, 1000.0))
+
+    def test_begins_empty_and_fills_by_its_rate(self) -> None:
+        self.assertEqual(self.issue(0.0).tokens, 0)
+        self.assertAlmostEqual(self.bucket(0.1).level, 100.0, delta=1.0)
+
+    def test_a_new_term_begins_empty_again(self) -> None:
+        self.bucket(0.9)
+        self.lead(0.9)
+        self.assertEqual(self.bucket(0.9).level, 0.0)
+        self.assertAlmostEqual(self.bucket(1.0).level, 100.0, delta=1.0)
+
+    def test_holds_no_more_than_its_capacity(self) -> None:
+        bucket = self.bucket(100.0)
+        self.assertEqual(bucket.level, bucket.capacity)
+        self.assertLessEqual(bucket.capacity, 1000.0 + 0.9 * 0.1 * 9000.0)
+
+    def test_a_lowered_limit_binds_the_level_at_once(self) -> None:
+        self.bucket(100.0)
+        self.configure(100.0, TenantLimit(100.0, 100.0))
+        bucket = self.issuer._bucket(100.0, "t", TenantLimit(100.0, 100.0))
+        self.assertLess(bucket.level, 200.0)
+
+    def test_a_limit_that_goes_and_comes_back_is_kept(self) -> None:
+        self.bucket(0.5)
+        self.configure(0.5, None)
+        self.configure(0.6, TenantLimit(1000.0, 1000.0))
+        self.assertAlmostEqual(self.bucket(0.6).level, 600.0, delta=1.0)
+
+    def test_what_was_filled_before_a_change_is_kept(self) -> None:
+        self.bucket(0.0)
+        self.configure(0.5, TenantLimit(10.0, 1000.0))
+        self.assertAlmostEqual(self.issuer._bucket(0.5, "t", TenantLimit(10.0, 1000.0)).level, 500.0, delta=1.0)
+
+    def test_other_bounds_are_in_force_at_once(self) -> None:
+        before = self.bucket(0.0).reserve
+        self.issuer.change_bounds(0.0, QuotaBounds(8.0, 0.3, 0.0))
+        self.assertGreater(self.bucket(0.0).reserve, 2 * before)
+
+    def test_outstanding_tokens_are_bounded_and_come_free_with_their_life(self) -> None:
+        bucket = self.bucket(100.0)
+        issued = self.all_of(100.0)
+        self.assertLessEqual(issued, bucket.most_outstanding)
+        self.assertEqual(bucket.outstanding, issued)
+        self.assertGreater(issued, 0.8 * min(bucket.most_outstanding, bucket.capacity))
+        self.bucket(100.0 + bucket.lifetime_s - 0.001)
+        self.assertEqual(bucket.outstanding, issued)
+        self.bucket(100.0 + bucket.lifetime_s)
+        self.assertEqual(bucket.outstanding, 0)
+
+    def test_what_is_issued_is_taken_from_the_bucket(self) -> None:
+        bucket = self.bucket(0.5)
+        self.issue(0.5, 100)
+        self.assertAlmostEqual(bucket.level, 400.0, delta=1.0)
+
+    def test_a_demand_that_could_not_be_met_is_kept_for_a_moment(self) -> None:
+        self.assertEqual(self.issue(0.1, 300, edge="large").tokens, 0)
+        self.assertEqual(self.issue(0.25, 10, edge="small").tokens, 0, "the bucket's tokens are the other's")
+        self.assertEqual(self.issue(0.35, 300, edge="large").tokens, 300)
+        self.assertEqual(self.issue(0.36, 10, edge="small").tokens, 10)
+
+    def test_a_kept_demand_ends(self) -> None:
+        self.issue(0.1, 900, edge="large")
+        self.assertEqual(self.issue(0.61, 10, edge="small").tokens, 10)
+
+    def test_a_demand_beyond_the_capacity_is_not_kept(self) -> None:
+        self.issue(0.1, 10**6, edge="large")
+        self.assertEqual(self.issue(0.1, 10, edge="small").tokens, 10)
+
+    def test_edges_that_asked_lately_share_what_is_issued_ahead(self) -> None:
+        for each in "abcd":
+            self.issue(0.5, 1, edge=each)
+        bucket = self.bucket(0.6)
+        room = min(bucket.level, bucket.most_outstanding - bucket.outstanding)
+        shared = self.issue(0.6, 10_000, 1, edge="e").tokens
+        self.assertAlmostEqual(shared, 0.5 * room / 5, delta=2.0)
+        alone = self.issue(2.0, 10_000, 1, edge="e").tokens
+        self.assertGreater(alone, 2.5 * shared)
+
+    def test_nothing_wanted_nothing_issued(self) -> None:
+        self.assertEqual(self.issue(0.5, 0, 1).tokens, 0)
+        self.assertEqual(self.issue(0.5, -5, 1).tokens, 0)
+
+    def test_when_to_ask_again(self) -> None:
+        self.assertEqual(self.issue(0.1, 200).retry_after_ms, 100)
+        self.assertEqual(self.issue(0.15, 160).retry_after_ms, 50)
+        self.assertEqual(self.issue(0.15, 10**5, edge="f").retry_after_ms, 5000)
+        self.setUp()
+        self.assertEqual(self.issue(0.5, 100).retry_after_ms, 0)
+
+    def test_without_a_rate_nothing_is_promised(self) -> None:
+        self.configure(0.0, TenantLimit(0.0, 0.0))
+        self.assertEqual((self.issue(0.5).tokens, self.issue(0.5).retry_after_ms), (0, 5000))
+
+    def test_slack_counts_in_the_unit_of_its_tenants_only(self) -> None:
+        self.issuer.change_bounds(0.0, QuotaBounds(8.0, 0.1, 5000.0))
+        counted = self.bucket(0.0).reserve
+        self.configure(0.0, TenantLimit(1000.0, 1000.0, slack_counts=False))
+        self.assertLess(self.bucket(0.0).reserve, counted - 1000.0)
+
+    # Leases beside the bucket
+
+    def test_the_bucket_fills_with_what_is_not_leased(self) -> None:
+        (grant,) = self.issuer.renew(0.0, A, 1, [report(2000.0)])
+        self.assertGreater(grant.rate, 500.0)
+        level = self.bucket(0.0).level
+        self.assertAlmostEqual(self.bucket(0.1).level - level, 0.1 * (1000.0 - grant.rate), delta=1.0)
+        self.assertAlmostEqual(self.bucket(0.1).fill_rate(), 1000.0 - grant.rate, delta=1.0)
+
+    def test_the_bucket_and_the_stores_together_hold_no_more_than_the_reserve_allows(self) -> None:
+        bare = self.bucket(0.0).capacity
+        (grant,) = self.issuer.renew(0.0, A, 1, [report(2000.0)])
+        self.assertAlmostEqual(self.bucket(0.0).capacity, max(1000.0, bare - grant.depth), delta=1.0)
+
+    def test_leases_that_ran_out_give_their_rate_back(self) -> None:
+        (grant,) = self.issuer.renew(0.0, A, 1, [report(2000.0)])
+        self.assertGreater(grant.rate, 0.0)
+        self.bucket(REACH_S + 0.01)
+        self.assertEqual(self.bucket(REACH_S + 0.02).fill_rate(), 1000.0)
+
+    def test_a_deposit_is_taken_from_the_bucket(self) -> None:
+        bucket = self.bucket(10.0)
+        before = bucket.level
+        (grant,) = self.issuer.renew(10.0, A, 1, [report(2000.0)])
+        self.assertGreater(grant.deposit, 0)
+        self.assertEqual(bucket.outstanding, grant.deposit)
+        self.assertLessEqual(bucket.level, before - grant.deposit)
+        self.assertEqual(grant.deposit_s, bucket.lifetime_s)
+
+    def test_no_deposit_while_a_demand_waits_or_into_a_full_store(self) -> None:
+        (full,) = self.issuer.renew(10.0, A, 1, [report(2000.0, stored=1e6)])
+        self.assertEqual(full.deposit, 0)
+        self.setUp()
+        bucket = self.bucket(10.0)
+        bucket.demands["x"] = quota._Demand(5, 11.0)
+        (grant,) = self.issuer.renew(10.0, A, 1, [report(2000.0)])
+        self.assertEqual(grant.deposit, 0)
+
+    def test_reports_that_were_overtaken_tell_nothing(self) -> None:
+        self.assertEqual(len(self.issuer.renew(0.0, A, 5, [report()])), 1)
+        self.assertEqual(self.issuer.renew(0.1, A, 5, [report()]), [])
+        self.assertEqual(len(self.issuer.renew(0.1, B, 2, [report()])), 1, "of each holder by itself")
+        self.lead(0.2)
+        self.assertEqual(len(self.issuer.renew(0.2, A, 1, [report()])), 1, "of each term by itself")
+
+    def test_tenants_without_a_limit_get_no_lease(self) -> None:
+        self.configure(0.0, None)
+        self.assertEqual(self.issuer.renew(0.0, A, 1, [report()]), [])
+
+    # A new leader, while leases of the one before run
+
+    def test_until_the_leases_are_known_the_rate_that_is_never_leased(self) -> None:
+        self.lead(0.0, 3.0, 5.0)
+        cautious = 350.0 + 0.06 * 0.1 * 9000.0 / 8.0
+        bucket = self.bucket(0.0)
+        self.assertAlmostEqual(bucket.fill_rate(), cautious, delta=0.5)
+        self.assertAlmostEqual(self.bucket(1.0).level, cautious, delta=0.5)
+        self.assertEqual(bucket.capacity, bucket.least_capacity)
+        self.bucket(3.0)
+        self.assertAlmostEqual(bucket.fill_rate(), cautious + 325.0, delta=0.5)
+        self.bucket(5.0)
+        self.assertAlmostEqual(bucket.fill_rate(), 1000.0, delta=0.5)
+        self.assertGreater(bucket.capacity, bucket.least_capacity)
+
+    def test_no_deposit_until_the_leases_are_known(self) -> None:
+        self.lead(0.0, 3.0, 5.0)
+        held = LeaseGrant("t", 100.0, 500.0, 3.0, 0.5, 5.0)
+        self.bucket(2.0)
+        (grant,) = self.issuer.renew(2.0, A, 1, [report(900.0, held)])
+        self.assertEqual(grant.deposit, 0)
+
+    def test_the_word_that_nothing_is_leased_opens_the_bucket(self) -> None:
+        for bare_s, rate in ((0.05, 350.0), (2.0, 1000.0)):
+            self.lead(0.0, 3.0, 5.0)
+            self.issuer.renew(0.0, A, 1, [report(0.0, bare_s=bare_s)])
+            self.assertAlmostEqual(self.bucket(0.1).fill_rate(), rate, delta=10.0)
+
+
+class RateLeasesTest(unittest.TestCase):
+    """Leases are reckoned from above until they have run out or a newer report tells less."""
+
+    def setUp(self) -> None:
+        self.leases = RateLeases(TOTALS, known_from=0.0)
+
+    def test_a_grant(self) -> None:
+        grant = self.leases.report(0.0, A, report(300.0))
+        self.assertEqual((grant.tenant, grant.rate, grant.depth), ("t", 450.0, 3000.0))
+        self.assertEqual((grant.full_s, grant.late_share, grant.lifetime_s), (FULL_S, LATE_SHARE, LEASE_S))
+
+    def test_reckoned_until_it_has_run_out_by_the_leaders_clock(self) -> None:
+        self.leases.report(0.0, A, report(600.0))
+        expected = ((FULL_REACH_S - 0.01, 900.0), (FULL_REACH_S, 450.0), (REACH_S - 0.01, 450.0), (REACH_S, 0.0))
+        for now, rate in expected:
+            self.leases.expire(now)
+            self.assertEqual(self.leases.rate, rate, now)
+        self.assertEqual(self.leases.depth, 0.0)
+
+    def test_a_newer_report_tells_what_is_held(self) -> None:
+        grant = self.leases.report(0.0, A, report(600.0))
+        half = LeaseGrant("t", grant.rate / 2, grant.depth / 2, 3.0, 0.5, 5.0)
+        self.leases.report(0.5, A, report(100.0, half))
+        self.assertLessEqual(self.leases.rate, grant.rate / 2)
+        self.assertGreaterEqual(self.leases.rate, half.rate)
+        self.assertEqual(self.leases.depth, 3000.0, "what is granted now may be taken")
+
+    def test_a_report_of_more_than_was_granted_counts_no_more(self) -> None:
+        self.leases.report(0.0, A, report(100.0))
+        self.leases.report(0.1, B, report(100.0))
+        self.leases.report(0.2, A, report(100.0, LeaseGrant("t", 1e6, 1e6, 3.0, 0.5, 5.0)))
+        self.assertLessEqual(self.leases.rate, TOTALS.rate)
+        self.assertLessEqual(self.leases.depth, TOTALS.depth)
+
+    def test_the_remaining_time_counts_with_the_drift_of_clocks(self) -> None:
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        held = LeaseGrant("t", 100.0, 500.0, 3.0, 0.5, 5.0)
+        new.report(0.0, A, report(0.0, held, 4.0))
+        new._holders[A].until = 4.0 * (1 + DRIFT)
+        new.expire(4.0)
+        self.assertGreater(new.rate, 0.0)
+
+    def test_adopted_until(self) -> None:
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        new._take(1.0, A, report(0.0, LeaseGrant("t", 100.0, 500.0, 3.0, 0.5, 5.0), 2.0))
+        held = new._holders[A]
+        self.assertEqual((held.rate, held.granted, held.depth), (100.0, 100.0, 500.0))
+        self.assertAlmostEqual(held.until, 1.0 + 2.0 * (1 + DRIFT))
+
+    def test_what_was_leased_before_and_is_not_reported_stays_unknown(self) -> None:
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        self.assertEqual((new.unknown(False), new.unknown(True)), (900.0, 450.0))
+        new.report(0.0, A, report(0.0, LeaseGrant("t", 300.0, 500.0, 3.0, 0.5, 5.0)))
+        self.assertEqual(new.unknown(False), 600.0)
+        new.report(0.1, A, report(0.0, LeaseGrant("t", 300.0, 500.0, 3.0, 0.5, 5.0)))
+        self.assertEqual(new.unknown(False), 600.0, "counted once")
+        new.report(0.2, B, report(0.0, LeaseGrant("t", 1e6, 500.0, 3.0, 0.5, 5.0)))
+        self.assertEqual(new.unknown(False), 0.0)
+
+    def test_a_new_leader_leases_only_what_was_reported(self) -> None:
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        self.assertEqual(new.report(0.0, A, report(900.0)).rate, 0.0)
+        new.report(0.1, B, report(900.0, LeaseGrant("t", 300.0, 500.0, 3.0, 0.5, 5.0)))
+        self.assertLessEqual(new.rate, 300.0)
+        self.assertLessEqual(new.depth, 500.0)
+        self.assertGreater(new.report(REACH_S, A, report(900.0)).rate, 300.0)
+
+    def test_idle_edges_are_forgotten(self) -> None:
+        self.leases.report(0.0, A, report(0.0))
+        self.assertEqual(self.leases.active(ACTIVE_S - 0.01), 1)
+        self.assertEqual(self.leases.active(ACTIVE_S), 0)
+        self.leases.expire(REACH_S + 0.1)
+        self.assertEqual(self.leases._holders, {})
+
+    def test_holders_are_kept_while_their_lease_runs(self) -> None:
+        self.leases.report(0.0, A, report(600.0))
+        self.leases.expire(REACH_S - 0.1)
+        self.assertIn(A, self.leases._holders)
+
+    def test_a_lowered_total_binds_new_grants(self) -> None:
+        self.leases.report(0.0, A, report(600.0))
+        self.leases.resize(LeaseTotals(90.0, 300.0))
+        grant = self.leases.report(0.1, A, report(600.0, LeaseGrant("t", 900.0, 3000.0, 3.0, 0.5, 5.0)))
+        self.assertLessEqual((grant.rate, grant.depth), (90.0, 300.0))
+
+    def test_nothing_is_leased_where_stores_are_too_small(self) -> None:
+        large = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 1500.0)
+        grant = self.leases.report(0.0, A, large)
+        self.assertEqual((grant.rate, grant.depth, grant.bare_s), (0.0, 0.0, BARE_S))
+
+    def test_no_word_that_nothing_is_leased_while_it_was_of_use_lately(self) -> None:
+        self.leases.report(0.0, A, report(0.0))
+        self.leases._holders[A].rate = 0.0
+        grant = self.leases.report(0.1, A, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 0.0, 1500.0))
+        self.assertEqual(grant.bare_s, 0.0)
+
+    def test_a_word_is_kept_until_its_end(self) -> None:
+        self.leases.report(0.0, A, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 1500.0))
+        for now in (0.5, BARE_S - 0.01):
+            self.assertEqual(self.leases.report(now, A, report(900.0)).rate, 0.0)
+        self.assertGreater(self.leases.report(BARE_S, A, report(900.0)).rate, 0.0)
+
+    def test_a_new_leader_gives_no_word_before_it_knows(self) -> None:
+        large = LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 900.0, 1500.0)
+        new = RateLeases(TOTALS, known_from=REACH_S)
+        self.assertEqual(new.report(0.0, A, large).bare_s, 0.0)
+        new.none_run()
+        self.assertEqual(new.report(0.1, A, large).bare_s, BARE_S)
+
+    def test_fair_shares(self) -> None:
+        self.assertEqual(fair_level([], 9.0), 0.0)
+        self.assertEqual(fair_level([10.0, 50.0, 100.0], 90.0), 40.0)
+        self.assertEqual(fair_level([10.0, 20.0], 90.0), 20.0)
+        for each in (A, B):
+            self.leases.report(0.0, each, report(2000.0))
+        first = self.leases.report(0.1, A, report(2000.0, LeaseGrant("t", 0.0, 0.0, 3.0, 0.5, 5.0)))
+        self.assertAlmostEqual(first.rate, 450.0, delta=450.0)
+        self.assertLessEqual(self.leases.rate, 900.0)
+
+
+class QuotaServiceTest(unittest.TestCase):
+    """What edges are answered, by the newest configuration and for one term."""
+
+    def setUp(self) -> None:
+        self.service = QuotaService(Bounds(quota_window_s=8.0, quota_overshoot=0.1, quota_slack=10_000.0))
+
+    def commit(self, *tenants: dict[str, Any]) -> None:
+        body = {"config_version": 1, "routes": [], "services": [], "tenants": tenants}
+        self.service.committed(0.0, json.dumps(body).encode())
+
+    def test_slack_counts_tokens_where_any_tenant_counts_tokens(self) -> None:
+        requests = {"name": "r", "api_keys": ["r"], "rate_per_s": 10, "burst": 10}
+        tokens = {"name": "t", "api_keys": ["t"], "rate_per_s": 10, "burst": 10, "unit": "token_stream"}
+        free = {"name": "f", "api_keys": ["f"]}
+        self.commit(requests, tokens, free)
+        limits = self.service._issuer._limits
+        self.assertEqual(limits["r"], TenantLimit(10.0, 10.0, False))
+        self.assertEqual((limits["t"], limits["f"]), (TenantLimit(10.0, 10.0, True), None))
+        self.commit(requests, free)
+        self.assertEqual(self.service._issuer._limits, {"r": TenantLimit(10.0, 10.0, True), "f": None})
+
+    def test_a_configuration_that_cannot_be_read_changes_nothing(self) -> None:
+        self.commit({"name": "f", "api_keys": ["f"]})
+        self.service.committed(0.0, b"{")
+        self.assertEqual(self.service._issuer._limits, {"f": None})
+
+    def test_bounds_of_the_settings(self) -> None:
+        self.service.change_bounds(0.0, Bounds(quota_window_s=4.0, quota_overshoot=0.2, quota_slack=3.0))
+        self.assertEqual(self.service._issuer._bounds, QuotaBounds(4.0, 0.2, 3.0))
+
+    def test_a_new_term_waits_for_the_leases_of_the_one_before(self) -> None:
+        self.service.lease_gained(10.0, 4)
+        issuer = self.service._issuer
+        self.assertEqual(issuer._late_from, 10.0 + FULL_REACH_S)
+        self.assertEqual(issuer._known_from, 10.0 + REACH_S)
+
+    def test_an_answer_names_its_request_and_term(self) -> None:
+        self.commit({"name": "f", "api_keys": ["f"]})
+        self.service.lease_gained(0.0, 4)
+        wanted = [pb.QuotaAmount(tenant="f", tokens=7, least=3)]
+        issue = self.service.answer(0.0, pb.QuotaRequest(request=9, edge="e", wanted=wanted))
+        (issued,) = issue.issued
+        self.assertEqual((issue.request, issue.term), (9, 0))
+        self.assertEqual((issued.tenant, issued.tokens, issued.lifetime_ms), ("f", 7, 400))
+        held = [pb.RateLease(tenant="f")]
+        issue = self.service.answer(0.0, pb.QuotaRequest(request=10, edge="e", term=3, held=held))
+        self.assertEqual((issue.request, issue.term, len(issue.issued)), (10, 4, 0))
+
+
+class StoppedChain:
+    """Answers what it is told to, and keeps what it was asked."""
+
+    def __init__(self, outcome: core.Outcome | None) -> None:
+        self.outcome = outcome
+        self.asked: list[Any] = []
+
+    async def _answer(self) -> core.Outcome:
+        if self.outcome is None:
+            await asyncio.get_running_loop().create_future()
+        assert self.outcome is not None
+        return self.outcome
+
+    def submit(self, *order: Any) -> Any:
+        self.asked.append(order)
+        return self._answer()
+
+    def read(self) -> Any:
+        return self._answer()
+
+
+class OperatorApiTest(unittest.TestCase):
+    """Each outcome and its one answer; a 4xx only where it is certain."""
+
+    BODY = json.dumps({"config_version": 7, "routes": [], "services": [], "tenants": []}).encode()
+
+    def replace(self, outcome: core.Outcome, base: str | None = "6", body: bytes = BODY) -> Any:
+        chain = StoppedChain(outcome)
+        api = OperatorApi(chain, "10.0.0.1:8367")
+        headers = {} if base is None else {operator_api.BASE_VERSION_HEADER: base}
+        request = make_mocked_request("POST", "/config/replace", headers=headers)
+
+        async def read() -> bytes:
+            return body
+
+        request.read = read  # type: ignore[method-assign]
+        self.chain = chain
+        return asyncio.run(api.replace(request))
+
+    def read(self, outcome: core.Outcome) -> web.Response:
+        api = OperatorApi(StoppedChain(outcome), "10.0.0.1:8367")
+        return asyncio.run(api.read(make_mocked_request("GET", "/config/read")))
+
+    def told(self, answer: Any) -> tuple[int, Any]:
+        return answer.status, json.loads(answer.body)
+
+    def test_acknowledged(self) -> None:
+        self.assertEqual(self.told(self.replace(core.Acknowledged(7))), (200, {"config_version": 7}))
+        self.assertEqual(self.chain.asked, [(6, 7, self.BODY, order_digest(6, self.BODY))])
+
+    def test_refused(self) -> None:
+        status, body = self.told(self.replace(core.Stale(9)))
+        self.assertEqual((status, body["current_version"], "place" in body), (412, 9, False))
+        status, body = self.told(self.replace(core.Stale(6)))
+        self.assertEqual((status, body["current_version"], body["place"]), (400, 6, "config_version"))
+
+    def test_elsewhere(self) -> None:
+        answer = self.replace(core.Elsewhere("10.0.0.2:8367"))
+        self.assertEqual((answer.status, answer.headers["Location"]), (307, "http://10.0.0.2:8367/config/replace"))
+        answer = self.read(core.Elsewhere("10.0.0.2:8367"))
+        self.assertEqual((answer.status, answer.headers["Location"]), (307, "http://10.0.0.2:8367/config/read"))
+        for address in ("", "10.0.0.1:8367"):
+            self.assertEqual(self.replace(core.Elsewhere(address)).status, 503)
+
+    def test_unsure(self) -> None:
+        for answer in (self.replace(core.Unsure()), self.read(core.Unsure())):
+            self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.2"))
+
+    def test_configuration_as_it_was_sent(self) -> None:
+        answer = self.read(core.Configuration(1, 7, b"{ }", b""))
+        self.assertEqual((answer.status, answer.body, answer.content_type), (200, b"{ }", "application/json"))
+        self.assertEqual(self.read(core.NoConfiguration()).status, 404)
+
+    def test_base_versions(self) -> None:
+        for text in (None, "", "x", "-1", "1.5", "\u0661", str(2**63)):
+            self.assertEqual(self.replace(core.Acknowledged(7), text).status, 400, text)
+            self.assertEqual(self.chain.asked, [])
+        self.assertEqual(self.replace(core.Acknowledged(7), str(2**63 - 1)).status, 200)
+
+    def test_bodies_that_are_no_configuration(self) -> None:
+        status, body = self.told(self.replace(core.Acknowledged(7), body=b"{}"))
+        self.assertEqual((status, self.chain.asked), (400, []))
+        self.assertTrue(body["error"])
+
+    def test_same_order_by_base_and_bytes(self) -> None:
+        digests = {order_digest(1, b"a"), order_digest(2, b"a"), order_digest(1, b"a "), order_digest(1, b"b")}
+        self.assertEqual(len(digests), 4)
+        self.assertEqual(order_digest(1, b"a"), order_digest(1, b"a"))
+        self.assertEqual(len(order_digest(1, b"a")), 16)
+
+    def test_stops_unstarted(self) -> None:
+        asyncio.run(OperatorApi(StoppedChain(None), "10.0.0.1:8367").stop())
+
+
+class FakeRecords:
+    """Keeps what is to be written."""
+
+    def __init__(self) -> None:
+        self.log_size = 0
+        self.jobs: list[tuple[str, Any, Any]] = []
+
+    def append(self, records: Any, done: Any) -> None:
+        self.jobs.append(("append", list(records), done))
+
+    def replace(self, records: Any, done: Any) -> None:
+        self.jobs.append(("replace", list(records), done))
+
+
+class RuntimeTest(unittest.TestCase):
+    """Actions of a replica are carried out; what follows a failed write is a whole snapshot."""
+
+    def setUp(self) -> None:
+        self.records, self.sent, self.observed, self.calls = FakeRecords(), [], [], []  # type: ignore[var-annotated]
+        self.actions: list[core.Action] = []
+        replica = SimpleNamespace(
+            snapshot=lambda: [b"whole"],
+            persisted=lambda now, token: self.called("persisted", token),
+            persist_failed=lambda now, token: self.called("failed", token),
+            submit=lambda now, order: self.called("submit", order),
+            read=lambda now, request: self.called("read", request),
+            resign=lambda now: self.called("resign"),
+            receive=lambda now, message: self.called("receive", message),
+            tick=lambda now: self.called("tick"),
+            start=lambda now: self.called("start"),
+        )
+        observer = SimpleNamespace(
+            committed=lambda value: self.observed.append(value),
+            lease_gained=lambda term: self.observed.append(term),
+            lease_lost=lambda: self.observed.append("lost"),
+        )
+        untyped: Any = replica
+        self.runtime = ReplicaRuntime(
+            untyped, self.records, lambda *send: self.sent.append(send), observer, lambda: 5.0, False
+        )
+
+    def called(self, *call: Any) -> list[core.Action]:
+        self.calls.append(call)
+        actions, self.actions = self.actions, []
+        return actions
+
+    def act(self, *actions: core.Action) -> None:
+        self.actions = list(actions)
+        self.runtime.tick()
+
+    def kinds(self) -> list[str]:
+        return [kind for kind, _, _ in self.records.jobs]
+
+    def test_each_call_acts(self) -> None:
+        for call in (self.runtime.start, self.runtime.resign, lambda: self.runtime.receive(CoreMessage())):
+            self.actions = [core.LeaseLost()]
+            call()
+        self.assertEqual(self.observed, ["lost"] * 3)
+        self.assertEqual([call[0] for call in self.calls], ["start", "resign", "receive"])
+
+    def test_what_is_told(self) -> None:
+        configuration = core.CommittedConfiguration(1, 2, b"", b"")
+        message = CoreMessage(boot=3)
+        self.act(core.Send("a:1", message), core.LeaseGained(7), core.Committed(configuration), core.LeaseLost())
+        self.assertEqual(self.sent, [("a:1", message)])
+        self.assertEqual(self.observed, [7, configuration, "lost"])
+
+    def test_records_are_appended_and_told_once_synced(self) -> None:
+        self.act(core.Persist(4, [b"r"]))
+        ((kind, records, done),) = self.records.jobs
+        self.assertEqual((kind, records, self.calls[1:]), ("append", [b"r"], []))
+        self.actions = [core.LeaseGained(1)]
+        done(Success(None))
+        self.assertEqual((self.calls[-1], self.observed), (("persisted", 4), [1]))
+
+    def test_a_failed_write_is_followed_by_a_snapshot(self) -> None:
+        self.act(core.Persist(4, [b"r"]))
+        self.records.jobs[0][2](Failure(StorageProblem("append to", "log", "full")))
+        self.assertEqual(self.calls[-1], ("failed", 4))
+        self.act(core.Persist(5, [b"s"], True))
+        self.act(core.Persist(6, [b"t"]))
+        self.assertEqual([job[:2] for job in self.records.jobs[1:]], [("replace", [b"whole"]), ("append", [b"t"])])
+        self.records.jobs[1][2](Success(None))
+        self.assertEqual(self.calls[-1], ("persisted", 5))
+
+    def test_a_long_log_is_replaced_once_at_a_time(self) -> None:
+        self.records.log_size = LOG_LIMIT_BYTES
+        self.act(core.Persist(1, [b"r"]))
+        self.records.log_size += 1
+        self.act(core.Persist(2, [b"s"]))
+        self.act(core.Persist(3, [b"t"]))
+        self.assertEqual(self.kinds(), ["append", "replace", "append"])
+        self.records.jobs[1][2](Success(None))
+        self.act(core.Persist(4, [b"u"]))
+        self.assertEqual(self.kinds()[3], "replace")
+
+    def test_a_snapshot_comes_first_where_the_log_cannot_go_on(self) -> None:
+        self.runtime._snapshot_first = True
+        self.act(core.Persist(1, [b"r"]), core.Persist(2, [b"s"]))
+        self.assertEqual(self.kinds(), ["replace", "append"])
+
+    def test_answers_reach_their_callers(self) -> None:
+        async def scene() -> None:
+            first = self.runtime.submit(1, 2, b"body", b"digest")
+            second = self.runtime.read()
+            (_, order), (_, request) = self.calls
+            told = (order.base_version, order.version, order.body, order.digest)
+            self.assertEqual(told, (1, 2, b"body", b"digest"))
+            self.assertNotEqual(order.request, request)
+            self.act(core.Answer(request, core.NoConfiguration()))
+            self.assertEqual((first.done(), second.result()), (False, core.NoConfiguration()))
+            self.act(core.Answer(order.request, core.Acknowledged(2)), core.Answer(order.request, core.Unsure()))
+            self.assertEqual(first.result(), core.Acknowledged(2))
+            await asyncio.sleep(0)
+            self.act(core.Answer(request, core.Unsure()), core.Answer(99, core.Unsure()))
+            self.assertEqual(self.runtime._waiting, {})
+
+        asyncio.run(scene())
+
+    def test_a_caller_that_left(self) -> None:
+        async def scene() -> None:
+            answer = self.runtime.read()
+            answer.cancel()
+            self.act(core.Answer(1, core.Unsure()))
+            await asyncio.sleep(0)
+            self.assertEqual(self.runtime._waiting, {})
+
+        asyncio.run(scene())
+
+
