--- a/tests/fleet/exploration/search.py
+++ b/tests/fleet/exploration/search.py
@@ -157,6 +157,7 @@
             f"sealed by {memory.promised.round}" if memory.promised is not None else "",
             f"leads in term {replica.term}" if replica.is_leader(machine.now()) else "",
             "frozen" if machine.frozen else "",
+            "its disk hangs" if machine.state.hung else "",
             f"{len(machine.state.queue)} writes under way" if machine.state.queue else "",
         ]
         lines.append(f"{machine.name}: " + ", ".join(each for each in marks if each))
