--- a/tests/fleet/test_data_model.py
+++ b/tests/fleet/test_data_model.py
@@ -14,8 +14,10 @@
 from hollyport.http1.client import ClientConnection
 from hollyport.http1.connection import Connection, Reply
 from rosechute.data import admission, attempt, request, verdict
+from rosechute.data.admission import Admitted
 from rosechute.data.client_answer import ClientAnswer
 from rosechute.data.events import EventStream
+from rosechute.data.plane import DataPlane
 from rosechute.data.request import ClientRequest
 from rosechute.data.silence import SilenceWatch
 from rosechute.data.verdict import Verdict
@@ -109,6 +111,15 @@
                         mock.patch.object(ClientRequest, "prepare", prepare),
                         mock.patch.object(Router, "report", report))
 
+    def test_a_newer_configuration_not_asked(self) -> None:
+        def refusal(self: DataPlane, admitted: Admitted) -> Any:
+            told = original(self, admitted)
+            admitted.repeatable = admitted.route.repeatable
+            return told
+
+        original = DataPlane.refusal
+        self.found(data_judges.judge_at_most_once, mock.patch.object(DataPlane, "refusal", refusal))
+
     def test_a_reset_taken_for_not_run(self) -> None:
         self.found(data_judges.judge_at_most_once,
                    mock.patch.object(verdict, "RESET", Verdict(AttemptResult.CONNECT_FAILED, False)))
