--- a/tests/fleet/test_data_changes.py
+++ b/tests/fleet/test_data_changes.py
@@ -119,6 +119,19 @@
             site.close()
         self.play(scene)
 
+    def test_a_request_that_has_come_unread_is_answered_as_idle_connections_are_closed(self) -> None:
+        async def scene() -> None:
+            site = await Site().start()
+            asks, rests = await site.client(), await site.client()
+            for client in (asks, rests):
+                await client.ask()
+            asks.send()
+            site.plane.front.listener.close()  # in the same turn: the request is in the kernel
+            self.assertEqual((await asks.answer()).status, 200)
+            self.assertEqual(await rests.ended(), b"")
+            site.close()
+        self.play(scene)
+
     def test_a_first_request_has_its_time_from_its_first_byte_on(self) -> None:
         async def scene() -> None:
             site = await Site().start()
--- a/tests/fleet/test_data_shutdown.py
+++ b/tests/fleet/test_data_shutdown.py
@@ -299,6 +299,52 @@
             site.close()
         self.play(scene)
 
+    def test_a_body_half_read_is_read_on_and_its_request_answered(self) -> None:
+        async def scene() -> None:
+            site = await Site(grace_s=5.0).start()
+            clients = [await site.client() for _ in range(2)]
+            for client, path in zip(clients, (b"plain", b"stream"), strict=True):
+                client.writer.write(
+                    b"POST /%s/1 HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: half\r\n"
+                    b"X-Rosechute-Credential: k1\r\nContent-Length: 8\r\n\r\nhalf" % path
+                )
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(self.end(site))
+            for _ in range(3):
+                await asyncio.sleep(0.9)
+                for client in clients:
+                    client.writer.write(b"x")
+            await asyncio.sleep(0.1)
+            for client in clients:
+                client.writer.write(b"x")
+            plain_answer, stream_answer = [await client.answer() for client in clients]
+            self.assertEqual((plain_answer.status, stream_answer.status), (200, 503))
+            self.assertEqual([call.body for call in site.calls], [b"halfxxxx"])
+            self.assertLess(await ending, 4.0)
+            site.close()
+        self.play(scene)
+
+    def test_a_request_that_is_sent_again_and_again_gets_a_whole_answer(self) -> None:
+        async def scene() -> None:
+            async def declines(talk: Talk, call: Call) -> None:
+                await asyncio.sleep(0.3)
+                talk.full()
+
+            async def breaks(talk: Talk, call: Call) -> None:
+                await asyncio.sleep(0.3)
+                talk.reset()
+
+            for script, statuses in ((declines, {503}), (breaks, {502})):
+                site = await Site(grace_s=4.0).start(s1=script, s2=script, s3=script)
+                asked = [asyncio.ensure_future(site.ask("/again/1", deadline=15000)) for _ in range(4)]
+                await asyncio.sleep(0.1)
+                await self.end(site)
+                answers = await asyncio.gather(*asked)
+                self.assertEqual({answer.status for answer in answers}, statuses)
+                self.assertTrue(all(answer.whole for answer in answers))
+                site.close()
+        self.play(scene)
+
     def test_a_stream_that_breaks_during_the_end_is_still_resumed(self) -> None:
         async def scene() -> None:
             site = await Site().start(s1=streaming(5, 0.2, then="reset"), s2=streaming(12, 0.2))
