An edge that knows nobody of the core any more asks its zone who leads

Order of events: an edge is cut off; while it is away every core machine that it knows, and every seed of its settings, is replaced at a new address, one after the other, which the core bears; the cut ends. After 1.5 s without a leader an edge now sends its renewal also to the other edges of its zone, one every 0.2 s. One that is attached answers with the leader's address and nothing else; the named machine counts only by its own answer under its term, as with every redirect, and only core machines tell freshness. Alone in its zone an edge still depends on its settings file. The test of the simulated deployment fails on the code before; a guard test takes the mechanism away.

--- a/rosechute/distribution/leader_search.py
+++ b/rosechute/distribution/leader_search.py
@@ -1,7 +1,8 @@
 """Finding the leader of the core from an edge, and the rhythm of its renewals there.
 
 Attached: renew at the leader every 0.4 s. Searching, after silence, a refusal or a closed link: ask the other core
-machines in turn, two every 0.1 s; whoever answers names the leader if it knows it.
+machines in turn, two every 0.1 s; whoever answers names the leader if it knows it. After 1.5 s the edges of the zone
+are asked too, one every 0.2 s: all core machines that this edge knows may have been replaced while it was cut off.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 SILENT_GRACE_S = 0.7  # it may still answer over a crowded link: other messages to it go on for so long
 PROBE_INTERVAL_S = 0.1
 PROBES_AT_ONCE = 2
+PEERS_AFTER_S = 1.5  # without a leader for so long, edges of the zone are asked who leads
+PEER_INTERVAL_S = 0.2
 ANSWER_LIMIT_S = 10.0  # answers to older renewals are not waited for
 ADDRESS_LIMIT = 32
 
@@ -38,6 +41,9 @@
         self.term = 0
         self._seeds = list(dict.fromkeys(seeds))
         self._core: list[str] = []
+        self._peers: list[str] = []
+        self._peer_turn = 0
+        self._peer_at = now
         self._named: str | None = None  # as leader, by a core machine
         self._next_at = now
         self._turn = 0
@@ -59,6 +65,14 @@
         """The core machines, as the leader knows them."""
         self._core = list(dict.fromkeys(addresses))
 
+    def set_peers(self, addresses: Iterable[str]) -> None:
+        """The other edges of the zone, as the leader knew them."""
+        self._peers = list(addresses)
+
+    def peers(self) -> list[str]:
+        """The other edges of the zone."""
+        return list(self._peers)
+
     def knows_core(self) -> bool:
         """Whether a core machine told of the others."""
         return bool(self._core)
@@ -80,7 +94,7 @@
             self._next_at = now + RENEW_INTERVAL_S
             return [self._ask(now, self.leader)]
         self._next_at = now + PROBE_INTERVAL_S
-        return [self._ask(now, address) for address in self._next_probes(now)]
+        return [self._ask(now, address) for address in [*self._next_probes(), *self._next_peer(now)]]
 
     def renew_now(self, now: float) -> None:
         """Renew at the next call of `due`, ahead of the rhythm."""
@@ -155,7 +169,15 @@
         self._asked[address] = now
         return address, request
 
-    def _next_probes(self, now: float) -> list[str]:
+    def _next_peer(self, now: float) -> list[str]:
+        """An edge of the zone, each in turn, where the core has not been found for long."""
+        if not self._peers or now < max(self._peer_at, self.leaderless_since + PEERS_AFTER_S):
+            return []
+        self._peer_at = now + PEER_INTERVAL_S
+        self._peer_turn += 1
+        return [self._peers[self._peer_turn % len(self._peers)]]
+
+    def _next_probes(self) -> list[str]:
         """The one that was named as leader, then the others in turn."""
         addresses = self.addresses()
         turns = [addresses[(self._turn + step) % len(addresses)] for step in range(len(addresses))]
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -101,7 +101,7 @@
 
     def addresses(self) -> set[str]:
         """Every address that this edge may dial; links to others may be closed."""
-        return set(self._search.addresses()) | self._homes.addresses()
+        return set(self._search.addresses()) | set(self._search.peers()) | self._homes.addresses()
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """The settings were read again."""
@@ -134,6 +134,8 @@
     def receive(self, now: float, connection: Connection, message: pb.Distribution) -> list[Action]:
         """A message from a core machine or from an edge of the zone."""
         match message.WhichOneof("body"):
+            case "renew":
+                actions = self._asked_here(connection, message.renew)
             case "renewed":
                 actions = self._renewed(now, connection, message.renewed)
             case "config":
@@ -225,6 +227,7 @@
         if answer.zone_edges:
             self._members = (answer.members_term, answer.members_revision)
             self._homes.members(now, [EdgeIdentity(one.name, one.zone, one.address) for one in answer.zone_edges])
+            self._search.set_peers(one.address for one in answer.zone_edges if one.name != self._edge.name)
         for topic, position in told_positions(answer).items():
             self._homes.add(now, topic)
             self._told(now, topic, position, address)
@@ -285,6 +288,14 @@
         news = self._fan_out.publish(now, topic, [name])
         return [Send(connection, pb.Distribution(subscribed=answer)), *handed_over, *news]
 
+    def _asked_here(self, connection: Connection, renew: pb.Renew) -> list[Action]:
+        """Another edge of the zone has not found the core: the leader is named, where it answers here. This says
+        nothing of any freshness: only core machines know that."""
+        if not self.attached or self._search.leader is None:
+            return []
+        renewed = pb.Renewed(request=renew.request, leader=self._search.leader)
+        return [Send(connection, pb.Distribution(renewed=renewed))]
+
     def _home_answered(self, now: float, connection: Connection, topic: str) -> list[Action]:
         self._home_spoke(now, connection, topic)
         return []
--- a/tests/fleet/test_distribution_days.py
+++ b/tests/fleet/test_distribution_days.py
@@ -185,6 +185,33 @@
             self.assertIn(world.subscriber(machine).leader, known)
             self.assertLessEqual(known, world.subscriber(machine).addresses())
 
+    def away_while_all_are_replaced(self, edges: int) -> tuple[DayWorld, Machine]:
+        world, _ = started(23, edges=edges)
+        away = world.edge[0]
+        world.cut([away], [one for one in [*world.core, *world.edge] if one is not away], 20.0)
+        for machine in list(world.core):
+            world.replace(machine)
+            world.run(6.0)
+        world.run(2.1)
+        return world, away
+
+    def test_an_edge_that_was_away_while_all_were_replaced_asks_its_zone(self) -> None:
+        """Nobody of the core that it knows is there any more; an edge of its zone names the leader."""
+        world, away = self.away_while_all_are_replaced(edges=6)
+        world.run(2.5)  # less than the time after which the rules bind it
+        self.assertTrue(world.subscriber(away).attached)
+        world.run(6.0)
+        self.assertTrue(world.in_touch(away))
+
+    def test_alone_in_its_zone_it_needs_new_seeds(self) -> None:
+        """What does not hold: it finds the core only once the settings file, read again, names others."""
+        world, away = self.away_while_all_are_replaced(edges=3)
+        world.run(2.5)
+        self.assertFalse(world.subscriber(away).attached)
+        world.subscriber(away).set_seeds([one.address for one in world.core if not one.removed])
+        world.run(0.4)
+        self.assertTrue(world.subscriber(away).attached)
+
     def test_all_of_the_core_restarts(self) -> None:
         world, _ = started(22)
         for machine in world.core:
--- a/tests/fleet/test_distribution_fencing.py
+++ b/tests/fleet/test_distribution_fencing.py
@@ -260,6 +260,10 @@
     return mock.patch.object(CatchUp, "told", lambda self, *told: None)
 
 
+def edges_of_the_zone_are_not_asked() -> AbstractContextManager[Any]:
+    return mock.patch.object(LeaderSearch, "set_peers", lambda self, addresses: None)
+
+
 GUARDS: tuple[tuple[Plant, str], ...] = (
     (lease_is_not_asked_before_an_answer, f"{CORE}.test_after_a_freeze_no_answer_as_leader_and_no_tokens"),
     (reading_of_another_term_counts, f"{READER}.test_a_reading_that_began_in_an_earlier_term_does_not_count"),
@@ -314,6 +318,10 @@
         core_machines_at_new_addresses_are_not_learnt,
         f"{DAYS}.ReplacedTest.test_every_core_machine_is_replaced_and_edges_follow",
     ),
+    (
+        edges_of_the_zone_are_not_asked,
+        f"{DAYS}.ReplacedTest.test_an_edge_that_was_away_while_all_were_replaced_asks_its_zone",
+    ),
     (what_is_behind_is_not_fetched, "tests.fleet.test_distribution_clusters.HomeTest.test_a_home_dies"),
 )
 
--- a/tests/fleet/test_distribution_orders.py
+++ b/tests/fleet/test_distribution_orders.py
@@ -299,6 +299,41 @@
         self.assertIn(OTHER, edge.renewals)
 
 
+class ZoneNamesLeaderTest(unittest.TestCase):
+    """An edge that finds nobody of the core asks the others of its zone."""
+
+    def test_an_edge_names_the_leader_that_answers_it_and_tells_no_freshness(self) -> None:
+        edge = AtSubscriber()
+        renew = pb.Distribution(renew=pb.Renew(request=9, edge=pb.Edge(name="e2", zone="z", address="b")))
+        self.assertEqual(sent(edge.subscriber.receive(0.005, 7, renew), "renewed"), [])
+        edge.renewed(0.01, config_sequence=0, config_age_ms=0)
+        (connection, message), = sent(edge.subscriber.receive(0.02, 7, renew), "renewed")
+        told = message.renewed
+        self.assertEqual((connection, told.request, told.leader), (7, 9, LEADER))
+        self.assertFalse(told.is_leader or told.config_known)
+
+    def test_a_named_leader_counts_only_by_its_own_answer(self) -> None:
+        edge = AtSubscriber()
+        zone = [pb.Edge(name=name, zone="z", address=f"10.1.0.{name[1]}:7501") for name in ("e1", "e2")]
+        edge.renewed(0.01, members_term=5, zone_edges=zone)
+        edge.noted(edge.subscriber.connection_closed(0.02, Dialed(LEADER)))
+        now = 0.02
+        while "10.1.0.2:7501" not in edge.renewals:
+            now += 0.1
+            edge.tick(now)
+        self.assertGreater(now, 1.5)
+        self.assertNotIn("10.1.0.1:7501", edge.renewals)  # itself
+        named: dict[str, object] = {"is_leader": False, "members_term": 0, "config_known": False}
+        edge.renewed(now, "10.1.0.2:7501", leader="10.9.0.1:7500", **named)
+        self.assertIn("10.9.0.1:7500", edge.renewals)
+        self.assertFalse(edge.subscriber.attached)
+        edge.renewed(now + 0.01, "10.9.0.1:7500", members_term=4)
+        self.assertFalse(edge.subscriber.attached)  # of an older term
+        edge.tick(now + 0.2)
+        edge.renewed(now + 0.21, "10.9.0.1:7500", members_term=6)
+        self.assertTrue(edge.subscriber.attached)
+
+
 class LeaderlessTest(unittest.TestCase):
     def test_a_silent_leader_may_be_asked_for_a_while(self) -> None:
         """Over a crowded link it may still answer; whose link has ended can't."""
