--- a/tests/fleet/distribution_checkers.py
+++ b/tests/fleet/distribution_checkers.py
@@ -128,6 +128,8 @@
 
     def _check_list(self, process: Process) -> None:
         due_by = self._world.now - LIST_APPLY_S
+        if self._world.platform_calm_since > due_by:
+            return
         due = next(version for since, version in reversed(self._world.list_truth) if since <= due_by)
         for service in self._world.services:
             if not self._world.list_down and process.list_versions.get(service, 0) < due:
--- a/tests/fleet/distribution_day_world.py
+++ b/tests/fleet/distribution_day_world.py
@@ -25,6 +25,7 @@
 REMOVED_AFTER_S = 0.9  # a removed member is replaced in the view
 REQUEST_TOKENS = (300, 700, 2_000)
 LEAST_REQUESTS_PER_S = 0.5
+LEAVING_S = 4.0  # from the signal to the end of a process
 
 
 @dataclass
@@ -178,6 +179,14 @@
         self.start(machine)
         self._next_request(machine)
 
+    def leave(self, machine: Machine) -> None:
+        """An edge is told to end: it serves on for a while, and is no home any more."""
+        process = machine.process
+        assert process is not None and process.subscriber is not None
+        process.subscriber.leave(process.local_now())
+        self._wake_now(process)
+        self.at(LEAVING_S, lambda: self.kill(machine, restart_after=0.2) if machine.process is process else None)
+
     def remove_edge(self, machine: Machine) -> None:
         """An edge goes for good."""
         self.kill(machine)
--- a/tests/fleet/distribution_days.py
+++ b/tests/fleet/distribution_days.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .distribution_day_world import DayWorld
+from .distribution_day_world import LEAVING_S, DayWorld
 from .distribution_machines import Machine
 from .distribution_timeline import RuleBroken
 from .distribution_world import RATE, setUpModule
@@ -21,6 +21,7 @@
 DRIFT = 0.01
 SLOW_LINK_BYTES_PER_S = 625_000.0  # 5 Mbit/s
 SLOW_LINK_BODY_BYTES = 4_000  # compressed; a home of 11 others is at 40 % of its link then
+SLOW_PLATFORM_S = (0.05, 0.3)  # there and back, each
 CALM_S = 12.0
 PROGRESS = 250  # seeds between two lines
 
@@ -56,6 +57,7 @@
         )
         self.commit_pause_s = 0.2 if slow else 0.03
         self.seconds = seconds
+        self.platform_free_at = 0.0  # when it may be in trouble again
         self.core_free_at = 0.0  # when the core bears the next loss
 
     def play(self) -> Played:
@@ -182,6 +184,21 @@
             self._until(seconds)
             self.world.freeze(machine, seconds)
 
+    def edge_leaves(self) -> None:
+        machine = self._edge()
+        if machine is not None:
+            self._until(LEAVING_S + 0.2)
+            self.world.leave(machine)
+
+    def platform(self) -> None:
+        """It is slow, or down."""
+        if self.world.now < self.platform_free_at:
+            return
+        seconds = self.draw.uniform(0.5, 6.0)
+        self.platform_free_at = self.world.now + seconds + 2.0
+        self._until(seconds)
+        self.world.platform_trouble(seconds, self.draw.choice((None, SLOW_PLATFORM_S, SLOW_PLATFORM_S)))
+
     def edge_slow(self) -> None:
         machine, seconds = self._edge(), self.draw.uniform(0.5, 4.0)
         if machine is not None and machine.slow_s == 0.0:
@@ -222,6 +239,7 @@
     Day.commits, Day.commits, Day.commits, Day.list_changes, Day.list_changes, Day.demand, Day.resign,
     Day.core_cut, Day.core_cut, Day.core_freeze, Day.core_kill, Day.core_replaced, Day.core_restarts,
     Day.edges_cut, Day.edges_cut, Day.edge_restart, Day.edge_freeze, Day.edge_slow, Day.edges_come_and_go,
+    Day.edge_leaves, Day.platform,
 )
 
 
--- a/tests/fleet/distribution_world.py
+++ b/tests/fleet/distribution_world.py
@@ -96,6 +96,7 @@
         self.list_truth: list[tuple[float, int]] = [(-1.0, 0)]  # since when, version
         self.list_down = False
         self.platform_s = PLATFORM_S
+        self.platform_calm_since = 0.0
         self.members_changed = 0.0
         for machine in [*self.core, *self.edge]:
             self.at(self.random.uniform(0.0, 0.3), lambda machine=machine: self.start(machine))  # type: ignore[misc]
@@ -210,8 +211,7 @@
     def _woken(self, process: Process) -> None:
         """Its timers are due."""
         if process.subscriber is not None:
-            process.wake = math.inf
-            self._wake(process)
+            self._wake_now(process)
         elif process.core is not None:
             process.core.turn()
 
@@ -355,6 +355,17 @@
         self.list_truth.append((self.now, version))
         return version
 
+    def platform_trouble(self, seconds: float, slow_s: tuple[float, float] | None) -> None:
+        """The platform is slow for a while, or where no times are given it is down."""
+        self.list_down = slow_s is None
+        self.platform_s = slow_s or PLATFORM_S
+        self.platform_calm_since = math.inf
+
+        def over() -> None:
+            self.list_down, self.platform_s, self.platform_calm_since = False, PLATFORM_S, self.now
+
+        self.at(seconds, over)
+
     def _platform(
         self, process: Process, page: int, answered: Callable[[Sequence[Instance] | None], None]
     ) -> None:
@@ -406,6 +417,11 @@
         self._do(process, process.subscriber.tick(process.local_now()))
         self.checkers.check(process)
 
+    def _wake_now(self, process: Process) -> None:
+        """Something was asked of the subscriber."""
+        process.wake = math.inf
+        self._wake(process)
+
     def _deliver(self, process: Process, connection: Connection, data: bytes) -> None:
         if process.core is not None:
             process.core.receive(connection, data)
