--- /dev/null
+++ b/tests/fleet/test_planted_wallets.py
@@ -0,0 +1,462 @@
+"""The edge's side of quotas and rate leases, part by part: what is spent, asked, waited for, refused and reported."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from typing import Any
+
+from rosechute.routing import quota_wallet
+from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport
+from rosechute.routing.quota_wallet import (
+    ANSWER_S,
+    DEMANDED_S,
+    REPORT_LOST_S,
+    REPORT_S,
+    WAIT_CROWDED_S,
+    WAIT_LEADERLESS_S,
+    WAIT_S,
+    WAIT_SILENT_S,
+    Issue,
+    QuotaWallet,
+)
+from rosechute.routing.rate_lease import RateLease
+
+
+def grant(rate: float = 100.0, depth: float = 1000.0, **more: Any) -> LeaseGrant:
+    known = {"full_s": 3.0, "late_share": 0.5, "lifetime_s": 5.0}
+    return LeaseGrant("t", rate, depth, **(known | more))
+
+
+class ExchangeTest(unittest.TestCase):
+    """Over the link neither side believes in more than the other."""
+
+    def test_report(self) -> None:
+        told = LeaseReport("t", 1.5, 2.5, 1.0, 3.5, 4.5, 5.5, 2.0)
+        self.assertEqual(LeaseReport.of(told.message()), told)
+
+    def test_grant(self) -> None:
+        told = LeaseGrant("t", 1.5, 2.5, 3.0, 0.5, 5.0, 7, 0.25, 2.0)
+        self.assertEqual(LeaseGrant.of(told.message()), told)
+
+    def test_what_is_held_is_rounded_up_and_what_is_granted_down(self) -> None:
+        held = LeaseReport("t", 1.0, 1.0, 1.0001, 0.0, 0.0, 0.0, 1.0009).message()
+        self.assertEqual((held.lifetime_ms, held.bare_ms), (1001, 1000))
+        granted = LeaseGrant("t", 1.0, 1.0, 1.0009, 0.5, 1.0009, 0, 1.0009, 1.0009).message()
+        times = (granted.full_ms, granted.lifetime_ms, granted.deposit_ms, granted.bare_ms)
+        self.assertEqual(times, (1000, 1000, 1000, 1000))
+
+
+class LeaseTest(unittest.TestCase):
+    """A lease fills its store from the moment when its report was sent, and ends with the store."""
+
+    def setUp(self) -> None:
+        self.lease = RateLease()
+
+    def test_times_count_from_when_the_report_was_sent(self) -> None:
+        self.lease.granted(1.0, 0.8, grant(bare_s=2.0))
+        self.assertEqual((self.lease.full_until, self.lease.until, self.lease.bare_until), (3.8, 5.8, 2.8))
+        self.assertEqual((self.lease.rate, self.lease.late_rate, self.lease.depth), (100.0, 50.0, 1000.0))
+
+    def test_fills_from_the_grant_on(self) -> None:
+        self.lease.granted(1.0, 0.8, grant())
+        self.assertEqual(self.lease.available(1.0), 0)
+        self.assertEqual(self.lease.available(2.0), 100)
+        self.assertEqual(self.lease.available(4.8), 330, "the later part at the late rate")
+
+    def test_time_does_not_go_back(self) -> None:
+        self.lease.granted(1.0, 1.0, grant())
+        self.lease.advance(2.0)
+        self.lease.advance(1.5)
+        self.assertEqual(self.lease.available(2.0), 100)
+
+    def test_ends_with_its_store(self) -> None:
+        self.lease.granted(0.0, 0.0, grant())
+        self.assertGreater(self.lease.available(4.99), 0)
+        self.assertEqual(self.lease.available(5.0), 0)
+        self.assertEqual((self.lease.rate, self.lease.depth, self.lease.stored), (0.0, 0.0, 0.0))
+
+    def test_an_answer_after_the_end_brings_nothing(self) -> None:
+        self.lease.granted(10.0, 5.0, grant(deposit=7, deposit_s=9.0))
+        self.assertEqual((self.lease.available(10.0), self.lease.rate), (0, 0.0))
+
+    def test_a_deposit(self) -> None:
+        self.lease.granted(0.3, 0.0, grant(deposit=70, deposit_s=0.4))
+        self.assertEqual(self.lease.available(0.3), 70)
+        self.lease.granted(0.7, 0.3, grant(deposit=70, deposit_s=0.4))
+        self.assertEqual(self.lease.available(0.7), 110, "void, and what the lease brought")
+        self.lease.granted(0.8, 0.7, grant(depth=150.0, deposit=70, deposit_s=0.4))
+        self.assertEqual(self.lease.available(0.8), 150, "no more than the depth")
+
+    def test_a_word_is_not_shortened(self) -> None:
+        self.lease.granted(0.0, 0.0, grant(0.0, 0.0, bare_s=5.0))
+        self.lease.granted(1.0, 1.0, grant(0.0, 0.0, bare_s=0.0))
+        self.assertEqual(self.lease.report(1.0, "t", 0.0, 0.0).bare_s, 4.0)
+
+    def test_report(self) -> None:
+        self.lease.granted(0.0, 0.0, grant(bare_s=1.5))
+        self.assertEqual(
+            self.lease.report(1.0, "t", 8.0, 9.0), LeaseReport("t", 100.0, 1000.0, 4.0, 100.0, 8.0, 9.0, 0.5)
+        )
+        late = self.lease.report(6.0, "t", 8.0, 9.0)
+        self.assertEqual((late.rate, late.depth, late.remaining_s, late.bare_s), (0.0, 0.0, 0.0, 0.0))
+
+    def test_when_it_covers(self) -> None:
+        self.lease.granted(0.0, 0.0, grant(depth=390.0))
+        self.lease.advance(1.0)
+        for tokens, at in ((100, 1.0), (250, 2.5), (300, 3.0), (350, 4.0), (391, math.inf)):
+            self.assertEqual(self.lease.covers_at(tokens), at, tokens)
+        self.lease.depth = 1000.0
+        self.assertEqual(self.lease.covers_at(401), math.inf, "not before its end")
+        self.lease.advance(3.5)
+        self.assertEqual(self.lease.covers_at(350), 4.0)
+        self.lease.late_rate = 0.0
+        self.assertEqual(self.lease.covers_at(350), math.inf)
+        self.assertEqual(RateLease().covers_at(0), -math.inf)
+
+
+class WalletTest(unittest.TestCase):
+    """Requests take tokens in their order; those that can't have them in time are told so."""
+
+    def setUp(self) -> None:
+        self.wallet = QuotaWallet()
+        self.told: list[tuple[str, bool, float]] = []
+        self.requests = 0
+
+    def carry_out(self, decisions: list[quota_wallet.Decision]) -> None:
+        for each in decisions:
+            each.decided(each.allowed, each.retry_after_s)
+
+    def spend(self, now: float, name: str, tokens: int, tenant: str = "t") -> None:
+        def decided(allowed: bool, retry_s: float) -> None:
+            self.told.append((name, allowed, round(retry_s, 6)))
+
+        self.carry_out(self.wallet.spend(now, tenant, tokens, decided))
+
+    def ask(self, now: float) -> list[quota_wallet.Ask]:
+        self.requests += 1
+        return self.wallet.ask(now, self.requests)
+
+    def issue(self, now: float, tokens: int, retry_s: float = 0.0, lifetime_s: float = 0.4, number: int = 0) -> None:
+        issues = [Issue("t", tokens, lifetime_s, retry_s)]
+        self.carry_out(self.wallet.issued(now, number or self.requests, issues))
+
+    def tick(self, now: float, leaderless_s: float | None = None) -> None:
+        self.carry_out(self.wallet.tick(now, leaderless_s))
+
+    def lease(self, now: float, **more: Any) -> None:
+        """A lease that is held from now on."""
+        self.wallet.report(now, 1000)
+        self.carry_out(self.wallet.granted(now, 1000, self.wallet.term, [grant(**more)]))
+
+    def names(self) -> list[str]:
+        return [name for name, allowed, _ in self.told if allowed]
+
+    def test_waits_for_what_is_asked(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.assertEqual((self.told, self.wallet.waits()), ([], True))
+        (ask,) = self.ask(0.0)
+        self.assertEqual((ask.tenant, ask.tokens, ask.least), ("t", 5, 5))
+        self.issue(0.01, 5)
+        self.assertEqual((self.told, self.wallet.waits()), ([("a", True, 0.0)], False))
+        self.assertEqual(self.wallet.held(0.01, "t"), 0)
+
+    def test_tokens_are_spent_once(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 12)
+        self.spend(0.02, "b", 5)
+        self.assertEqual(self.wallet.held(0.02, "t"), 2)
+        self.spend(0.03, "c", 5)
+        self.assertEqual(self.names(), ["a", "b"])
+
+    def test_tokens_are_void_a_lifetime_after_the_ask(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.2, 10)
+        self.assertEqual((self.wallet.held(0.39, "t"), self.wallet.held(0.4, "t")), (5, 0))
+
+    def test_tokens_that_come_after_their_life(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.4, 10)
+        self.assertEqual((self.wallet.held(0.4, "t"), self.names()), (0, []))
+
+    def test_oldest_tokens_first(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.spend(0.05, "x", 7)
+        self.issue(0.06, 9)
+        self.ask(0.06)
+        self.issue(0.07, 9)
+        self.assertEqual(self.names(), ["a", "x"])
+        self.assertEqual(self.wallet.held(0.41, "t"), 6)
+
+    def test_in_their_order(self) -> None:
+        self.spend(0.0, "large", 50)
+        self.spend(0.0, "small", 1)
+        self.ask(0.0)
+        self.issue(0.01, 10)
+        self.assertEqual(self.names(), [])
+        self.spend(0.02, "late", 1)
+        self.assertEqual(self.names(), [], "nobody overtakes")
+
+    def test_one_ask_at_a_time(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.spend(0.01, "b", 5)
+        self.assertEqual(self.ask(0.01), [])
+        (again,) = self.ask(ANSWER_S)
+        self.assertEqual((again.tokens >= 10, again.least), (True, 5))
+
+    def test_a_new_ask_after_an_answer(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.spend(0.01, "b", 5)
+        self.issue(0.02, 5)
+        (ask,) = self.ask(0.02)
+        self.assertEqual(ask.least, 5)
+
+    def test_held_tokens_are_not_asked_for_again(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.spend(0.01, "b", 50)
+        self.issue(0.02, 15)
+        (ask,) = self.ask(0.02)
+        self.assertEqual(ask.least, 40)
+
+    def test_nothing_is_asked_where_nobody_waits_or_the_leader_is_dry(self) -> None:
+        self.assertEqual(self.ask(0.0), [])
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.1)
+        self.assertEqual(self.ask(0.1), [])
+        self.assertEqual(len(self.ask(0.12)), 1)
+
+    def test_asks_ahead_where_that_is_several_requests(self) -> None:
+        for step in range(200):
+            self.spend(step / 100, f"r{step}", 1)
+        self.wallet.tick(2.0, None)
+        self.assertGreater(self.wallet._tenants["t"].ahead(2.0), 10)
+        self.assertEqual(self.wallet._tenants["t"].ahead(6.0), 0)
+        slow = QuotaWallet()
+        slow.spend(0.0, "t", 100, lambda *_: None)
+        self.assertEqual(slow._tenants["t"].ahead(0.0), 0)
+
+    def test_refused_at_once_where_the_leader_has_none_in_time(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.5)
+        self.assertEqual(self.told, [("a", False, 0.5)])
+        self.spend(0.05, "b", 5)
+        self.assertEqual(self.told[1:], [("b", False, 0.46)])
+        self.spend(0.05, "smaller", 4)
+        self.assertEqual(len(self.told), 2, "the leader was not asked for so few")
+
+    def test_waits_where_the_leader_has_some_soon(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.1)
+        self.tick(0.24)
+        self.assertEqual(self.told, [])
+        self.tick(WAIT_S)
+        self.assertEqual([allowed for _, allowed, _ in self.told], [False])
+
+    def test_given_up_where_the_leader_is_silent(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.tick(WAIT_SILENT_S - 0.001)
+        self.assertEqual(self.told, [])
+        self.tick(WAIT_SILENT_S)
+        self.assertEqual(self.told, [("a", False, 2.0)])
+
+    def test_given_up_soon_where_there_is_no_leader(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.tick(WAIT_LEADERLESS_S - 0.001, 1.8)
+        self.assertEqual(self.told, [])
+        self.tick(WAIT_LEADERLESS_S, 1.8)
+        self.assertEqual(self.told, [("a", False, 0.3)])
+        self.spend(1.0, "b", 5)
+        self.tick(1.1, 0.5)
+        self.assertEqual(self.told[1:], [("b", False, 1.5)])
+
+    def test_without_a_leader_nobody_waits_behind_others(self) -> None:
+        self.lease_held_with(10)
+        self.tick(1.0, 0.1)
+        self.spend(1.0, "large", 500)
+        self.spend(1.0, "small", 5)
+        self.assertEqual(self.names(), ["small"])
+
+    def lease_held_with(self, stored: int) -> None:
+        self.spend(0.0, "first", 1)
+        self.tick(0.9, None)
+        self.told.clear()
+        self.lease(1.0, deposit=stored, deposit_s=0.4)
+
+    def test_leased_tokens_are_spent_behind_issued_ones(self) -> None:
+        self.lease_held_with(10)
+        self.spend(1.0, "a", 15)
+        self.ask(1.0)
+        self.issue(1.01, 8)
+        self.assertEqual(self.names(), ["a"])
+        self.assertEqual(self.wallet.held(1.01, "t"), 4)
+
+    def test_waits_for_what_the_lease_brings_soon(self) -> None:
+        self.lease_held_with(0)
+        self.spend(1.0, "a", 18)
+        self.assertAlmostEqual(self.wallet.next_due(0.1), 1.18)
+        self.tick(1.17, 0.1)
+        self.assertEqual(self.told, [])
+        self.tick(1.19, 0.1)
+        self.assertEqual(self.names(), ["a"])
+
+    def test_when_to_come_back_where_the_lease_will_cover(self) -> None:
+        self.lease_held_with(0)
+        self.spend(1.0, "a", 100)
+        self.tick(1.0 + WAIT_LEADERLESS_S, 0.1)
+        self.assertEqual(self.told, [("a", False, 0.96)])
+
+    def test_a_grant_serves_those_that_wait(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.lease(0.05, deposit=9, deposit_s=0.4)
+        told = self.wallet.granted(0.1, 1000, 0, [grant()])
+        self.assertEqual(told, [], "the report was answered")
+        self.assertEqual((self.names(), self.wallet.held(0.05, "t")), (["a"], 4))
+
+    def test_tenants_by_themselves(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.spend(0.0, "b", 5, "u")
+        asks = self.ask(0.0)
+        self.assertEqual([each.tenant for each in asks], ["t", "u"])
+        self.issue(0.01, 5)
+        self.assertEqual(self.names(), ["a"])
+        self.assertEqual(self.wallet.held(0.0, "nobody"), 0)
+
+    def test_answers_to_nothing_that_was_asked(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 5, number=99)
+        self.assertEqual(self.told, [])
+        self.issue(0.01, 5)
+        self.issue(0.02, 5, number=self.requests)
+        self.assertEqual(self.wallet.held(0.02, "t"), 0, "an answer counts once")
+
+    def test_asks_that_were_never_answered_are_forgotten(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.tick(2.0)
+        self.assertEqual(len(self.wallet._asks), 1)
+        self.tick(2.01)
+        self.assertEqual(self.wallet._asks, {})
+
+    def test_patience_follows_the_time_that_answers_take(self) -> None:
+        now = 0.0
+        for _ in range(40):
+            self.spend(now, "a", 5)
+            self.ask(now)
+            self.issue(now + 0.15, 5)
+            now += 1.0
+        self.assertAlmostEqual(self.wallet._crowded_s(ANSWER_S), 0.45, delta=0.01)
+        self.told.clear()
+        self.spend(now, "b", 5)
+        self.ask(now)
+        self.tick(now + 0.44)
+        self.assertEqual(self.told, [])
+        self.tick(now + 0.46)
+        self.assertEqual(len(self.told), 1)
+        self.wallet._round_s = 9.0
+        self.assertEqual(self.wallet._crowded_s(ANSWER_S), WAIT_CROWDED_S)
+
+    def test_when_something_is_due(self) -> None:
+        self.assertEqual(self.wallet.next_due(None), math.inf)
+        self.spend(0.0, "a", 5)
+        self.assertEqual(self.wallet.next_due(None), -math.inf, "to be asked for")
+        self.assertEqual(self.wallet.next_due(0.1), WAIT_LEADERLESS_S)
+        self.ask(0.0)
+        self.assertEqual(self.wallet.next_due(None), ANSWER_S)
+        self.issue(0.01, 0, retry_s=0.2)
+        self.assertAlmostEqual(self.wallet.next_due(None), 0.21)
+
+    # Reports
+
+    def test_reported_while_there_is_demand_or_a_lease(self) -> None:
+        self.assertEqual(self.wallet.report_due(0.0), math.inf)
+        self.spend(0.0, "a", 8)
+        (told,) = self.wallet.report(0.0, 7)
+        self.assertEqual((told.tenant, told.demand, told.request_mean), ("t", 1.0, 8.0))
+        self.assertEqual(self.wallet.report_due(DEMANDED_S - 0.01), REPORT_LOST_S)
+        self.assertEqual(self.wallet.report_due(DEMANDED_S), math.inf)
+        self.lease(2.0)
+        self.assertLess(self.wallet.report_due(6.9), math.inf)
+        self.assertEqual(self.wallet.report_due(7.0), math.inf)
+
+    def test_demand_fades(self) -> None:
+        self.spend(0.0, "a", 8)
+        (told,) = self.wallet.report(3.0, 7)
+        self.assertAlmostEqual(told.demand, math.exp(-3.0 / 8.0))
+        self.spend(3.0, "b", 16)
+        (told,) = self.wallet.report(4.0, 8)
+        self.assertAlmostEqual(told.demand, (math.exp(-3.0 / 8.0) + 2.0) * math.exp(-1.0 / 8.0))
+        self.assertAlmostEqual(told.request_mean, 8.8)
+
+    def test_reports_are_spaced(self) -> None:
+        self.spend(0.0, "a", 8)
+        self.wallet.report(0.0, 7)
+        self.assertEqual(self.wallet.report(REPORT_LOST_S - 0.01, 8), [])
+        self.assertEqual(len(self.wallet.report(REPORT_LOST_S, 9)), 1)
+        self.wallet.granted(1.0, 9, 0, [])
+        self.assertEqual(self.wallet.report_due(1.0), REPORT_LOST_S + REPORT_S)
+
+    def test_only_the_answer_to_the_newest_report_counts_and_once(self) -> None:
+        self.spend(0.0, "a", 8)
+        self.wallet.report(0.0, 7)
+        self.wallet.report(1.0, 8)
+        self.wallet.granted(1.1, 7, 0, [grant(deposit=5, deposit_s=9.0)])
+        self.assertEqual(self.wallet.held(1.1, "t"), 0)
+        for _ in range(2):
+            self.wallet.granted(1.1, 8, 0, [grant(deposit=5, deposit_s=9.0)])
+        self.assertEqual(self.wallet.held(1.1, "t"), 5)
+        lease = self.wallet._tenants["t"].lease
+        self.assertEqual(lease.until, 6.0, "from when the report was sent")
+
+    def test_another_term_is_reported_to_at_once(self) -> None:
+        self.spend(0.0, "a", 8)
+        self.wallet.report(0.0, 7)
+        self.wallet.granted(0.1, 7, 4, [])
+        self.assertEqual((self.wallet.term, self.wallet.report_due(0.1)), (4, 0.1))
+        self.wallet.report(0.1, 8)
+        self.wallet.granted(0.2, 8, 4, [])
+        self.assertEqual(self.wallet.report_due(0.2), 0.1 + REPORT_S)
+
+    def test_grants_for_tenants_that_are_not_known_here(self) -> None:
+        self.spend(0.0, "a", 8)
+        self.wallet.report(0.0, 7)
+        told = LeaseGrant("u", 1.0, 1.0, 3.0, 0.5, 5.0)
+        self.assertEqual(self.wallet.granted(0.1, 7, 0, [told]), [])
+        self.ask(0.1)
+        self.assertEqual(self.wallet.issued(0.1, self.requests, [Issue("u", 5, 0.4, 0.0)]), [])
+
+
+class TimesTest(unittest.TestCase):
+    """The times fit together."""
+
+    def test_an_ask_is_answered_and_repeated_before_its_request_gives_up(self) -> None:
+        self.assertLess(ANSWER_S, WAIT_SILENT_S)
+        self.assertGreater(ANSWER_S, 0.05)
+        self.assertLess(WAIT_SILENT_S, WAIT_S)
+        self.assertLess(WAIT_S, WAIT_CROWDED_S)
+        self.assertLess(WAIT_LEADERLESS_S, quota_wallet.ACCRUAL_WAIT_S)
+        self.assertGreater(WAIT_LEADERLESS_S, 0.02)
+
+    def test_reports(self) -> None:
+        self.assertLess(REPORT_S, REPORT_LOST_S)
+        self.assertGreater(REPORT_S, 0.2)
+        self.assertGreater(DEMANDED_S, REPORT_LOST_S)
+        self.assertGreater(quota_wallet.LEASE_DEMAND_SPAN_S, quota_wallet.DEMAND_SPAN_S)
+        self.assertGreater(quota_wallet.DEMAND_SPAN_S, 0.5)
+        self.assertGreater(quota_wallet.AHEAD_S, 0.1)
+
+    def test_when_to_come_back(self) -> None:
+        self.assertGreater(quota_wallet.RETRY_LEAST_S, 0.2)
+        self.assertGreater(quota_wallet.COVERED_LEAST_S, 0.02)
+        self.assertGreater(quota_wallet.LEADERLESS_S, 1.0)
