--- a/tests/fleet/simulation/checkers.py
+++ b/tests/fleet/simulation/checkers.py
@@ -21,24 +21,19 @@
     Stale,
     View,
 )
+from tests.fleet.simulation.observer import Observer, Violation
 
 if TYPE_CHECKING:
     from tests.fleet.simulation.world import Machine, World
 
+__all__ = ["History", "Violation"]
+
 CLOCK_SLACK_S = 1e-6
 LOOK_S = 0.2
 ANSWER_WITHIN_S = 1.05  # of an order or a read, at a machine that runs
 
 
-class Violation(AssertionError):
-    """A rule is broken. `check` names it."""
-
-    def __init__(self, check: str, text: str) -> None:
-        super().__init__(f"{check}: {text}")
-        self.check = check
-
-
-class History:
+class History(Observer):
     """All that was ordered, acknowledged, refused, read and committed."""
 
     def __init__(self, world: World, judged: Collection[str] | None = None) -> None:
@@ -72,6 +67,10 @@
     def newest_acknowledged(self) -> int:
         return self.acknowledged_sequences[-1] if self.acknowledged_sequences else 0
 
+    def newest_version(self) -> int:
+        """Of the newest configuration that is known to stay, at whichever machine."""
+        return self.orders[self.line[max(self.line)]].version if self.line else 0
+
     def on_committed(self, machine: Machine, configuration: CommittedConfiguration) -> None:
         boot, sequence = self.told.get(machine.control, (0, 0))
         if boot == machine.boots and configuration.sequence <= sequence:
@@ -125,10 +124,7 @@
         if isinstance(outcome, Acknowledged) and digest is not None:
             self._acknowledged(machine, digest, outcome)
         elif isinstance(outcome, Stale) and digest is not None:
-            self.refusals += 1
-            self.refused.add(digest)
-            if digest in self.place:
-                self._object("refused", f"{machine.name}: refused an order that is in force")
+            self._refused(machine, digest)
         elif isinstance(outcome, Configuration):
             self.reads += 1
             self._in_line(machine, outcome.sequence, outcome.version, outcome.digest)
@@ -151,6 +147,15 @@
             self.acknowledged_times.append(self.world.now)
             self.acknowledged_sequences.append(sequence)
 
+    def _refused(self, machine: Machine, digest: bytes) -> None:
+        self.refusals += 1
+        self.refused.add(digest)
+        if digest in self.place:
+            self._object("refused", f"{machine.name}: refused an order that is in force")
+        order, newest = self.orders[digest], self.newest_version()
+        if order.base_version == newest < order.version:
+            self._object("proper", f"{machine.name}: refused {order.version} on top of {newest}, the newest")
+
     def on_boot(self, machine: Machine) -> None:
         self.on_end(machine)
 
--- a/tests/fleet/simulation/cluster.py
+++ b/tests/fleet/simulation/cluster.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from rosechute.coordination import Acknowledged, Order, Outcome, Replica, View
+from tests.fleet.simulation.certainty import Certainty
 from tests.fleet.simulation.checkers import History
 from tests.fleet.simulation.operators import Operator
 from tests.fleet.simulation.world import Machine, World
@@ -23,6 +24,7 @@
         self.world = World(seed, size)
         self.world.compaction = compaction
         self.history = History(self.world, judged)
+        self.certainty = Certainty(self.world, self.history, judged)
         self.world.bootstrap()
         self.world.run_until(FORMED_S + (4.0 if size > 5 else 0.0))
         self._made = 0
@@ -72,8 +74,7 @@
     # Orders and reads, at a machine of choice and without repeats
 
     def version(self) -> int:
-        line = self.history.line
-        return self.history.orders[line[max(line)]].version if line else 0
+        return self.history.newest_version()
 
     def make(self, base: int | None = None, version: int | None = None) -> Order:
         self._made += 1
--- a/tests/fleet/simulation/machine.py
+++ b/tests/fleet/simulation/machine.py
@@ -77,6 +77,8 @@
         self.frozen = False
         self.removed = False
         self.thawed_at = -1.0
+        self.unreachable = False  # for operators
+        self.held_requests: list[Callable[[], None]] = []  # that came while it was so
         self.clock_step = 0.0  # planted: a clock that is not steady
         self.backlog: list[Callable[[], None]] = []
         self.draws = random.Random(world.random.random())
@@ -159,6 +161,21 @@
             for call in backlog:
                 self._run(call)
 
+    def reach_again(self) -> None:
+        """Operators reach the machine again; what they sent meanwhile arrives, or went with its connections."""
+        self.unreachable = False
+        held, self.held_requests = self.held_requests, []
+        if self.world.random.random() < 0.5:
+            for request in held:
+                request()
+
+    def request(self, request: Callable[[], None]) -> None:
+        """A request of an operator comes, or is held up."""
+        if self.unreachable:
+            self.held_requests.append(request)
+        else:
+            request()
+
     def run(self, call: Callable[[Replica], list[Action]]) -> None:
         """Let the process handle something, now or after its freeze."""
         runtime = self.runtime
--- a/tests/fleet/simulation/network.py
+++ b/tests/fleet/simulation/network.py
@@ -18,6 +18,8 @@
         self.world = world
         self.delay = (0.0005, 0.004)
         self.loss = 0.0
+        self.bytes_per_s = 0.0  # of a machine's own link, for what it sends; 0: without a limit
+        self._link_free: dict[str, float] = {}
         self.cuts: dict[tuple[str, str], float] = {}  # (from, to) by control address, and since when
         self.held: dict[tuple[str, str], list[Any]] = {}
         self._last: dict[tuple[str, str], float] = {}
@@ -39,10 +41,18 @@
             return
         if self.loss and world.random.random() < self.loss:
             return
-        at = max(world.now + world.random.uniform(*self.delay), self._last.get(link, 0.0))
+        at = max(self._sent_by(source, message) + world.random.uniform(*self.delay), self._last.get(link, 0.0))
         self._last[link] = at
         world.at(at, self._deliver, target, target.boots, message)
 
+    def _sent_by(self, source: Machine, message: Any) -> float:
+        """When the last byte has left the machine."""
+        if not self.bytes_per_s:
+            return self.world.now
+        begins = max(self.world.now, self._link_free.get(source.control, 0.0))
+        self._link_free[source.control] = begins + message.ByteSize() / self.bytes_per_s
+        return self._link_free[source.control]
+
     def capture(self, matches: Callable[[Machine, Machine, Any], bool]) -> list[tuple[Machine, Any]]:
         """Take messages off the links from here on, with their targets, until `release`."""
         taken: list[tuple[Machine, Any]] = []
@@ -70,6 +80,11 @@
     def cut(self, source: Machine, target: Machine) -> None:
         self.cuts.setdefault((source.control, target.control), self.world.now)
 
+    def is_cut(self, source: Machine, target: Machine, before: float) -> bool:
+        """Whether the link has been cut since that time or longer."""
+        since = self.cuts.get((source.control, target.control))
+        return since is not None and since <= before
+
     def cut_off(self, machine: Machine, inward: bool = True, outward: bool = True) -> None:
         """Cut a machine off from all others, in one direction or both."""
         for other in self.world.machines:
--- a/tests/fleet/simulation/operators.py
+++ b/tests/fleet/simulation/operators.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 from random import Random
 
+from rosechute.control.orders import order_digest
 from rosechute.coordination import Acknowledged, Configuration, Elsewhere, NoConfiguration, Order, Outcome, Stale
 from tests.fleet.simulation.world import Machine, World
 
@@ -12,6 +12,11 @@
 REDIRECTS = 2
 
 
+def order_of(base: int, version: int, body: bytes) -> Order:
+    """The order that replaces `base` by this body."""
+    return Order(0, base, version, body, order_digest(base, body))
+
+
 class Operator:
     """One call at a time, repeated until its answer is clear."""
 
@@ -44,7 +49,7 @@
         if draw < 0.2:
             self._read(0)
         elif draw < 0.3 and self.past:
-            self._again(self.random.choice(self.past))
+            self.give_order(self.random.choice(self.past))
         else:
             self.give(self.known)
 
@@ -53,16 +58,15 @@
         self._made += 1
         version = base + self.random.randint(1, 3)
         body = f"{self.name} {self._made}: {version} on {base}".encode() + b"x" * self.random.randint(0, 50)
-        self.order = Order(0, base, version, body, hashlib.sha256(b"%d" % base + body).digest())
-        self.began = self.world.now
-        self._try(0, 0, to)
-        return self.order
+        order = order_of(base, version, body)
+        self.give_order(order, to)
+        return order
 
-    def _again(self, order: Order) -> None:
-        """Send an order again that was acknowledged long ago."""
+    def give_order(self, order: Order, to: Machine | None = None) -> None:
+        """Give this order, a new one or one that was given before."""
         self.order = order
         self.began = self.world.now
-        self._try(0, 0, None)
+        self._try(0, 0, to)
 
     def _pick(self) -> Machine | None:
         there = [each for each in self.world.machines if not each.removed]
--- a/tests/fleet/simulation/play.py
+++ b/tests/fleet/simulation/play.py
@@ -8,12 +8,14 @@
 from random import Random
 
 from rosechute.coordination import Configuration, Elsewhere, Outcome
+from tests.fleet.simulation.certainty import Certainty
 from tests.fleet.simulation.checkers import History, Violation
 from tests.fleet.simulation.faults import Troubles
 from tests.fleet.simulation.operators import Operator
 from tests.fleet.simulation.world import Machine, World
 
-SIZES = (3, 3, 3, 4, 4, 5, 5, 8)
+SIZES = (3, 3, 3, 4, 4, 5, 5, 6, 7, 8)
+SNAPSHOTS = (0.03, 0.03, 0.3, 1.0)  # share of the writes that are snapshots
 FORMED_S = 1.8
 FAR_S = (0.02, 0.06)  # delay between machines in other regions
 ACKNOWLEDGED_WITHIN_S = 4.0  # after the last trouble has ended
@@ -34,6 +36,9 @@
     recovery_s: float
     longest_answer_s: float
     troubles: list[str]
+    snapshots: int = 0
+    cut_off_answers: int = 0  # given without a majority: none was of certainty
+    longest_outage_s: float = 0.0  # until an order was acknowledged
 
 
 def play(
@@ -49,7 +54,9 @@
     random = Random(seed)
     size = random.choice(sizes)
     world = World(seed, size)
+    world.compaction = random.choice(SNAPSHOTS)
     history = History(world, judged)
+    Certainty(world, history, judged)
     if change is not None:
         change(world)
     if random.random() < 0.1:
@@ -59,11 +66,18 @@
         operator.lose_answers = random.choice((0.0, 0.0, 0.3))
         operator.start()
     world.bootstrap()
-    early = size < 8 and random.random() < 0.1
-    world.run_until(0.31 if early else FORMED_S + (4.0 if size == 8 else 0.5))
+    early = size < 6 and random.random() < 0.1
+    world.run_until(0.31 if early else FORMED_S + (4.0 if size >= 6 else 0.5))
     played = Troubles(world, (size - 1) // 2, only, lambda: history.acknowledgements)
     played.play(troubles if troubles is not None else random.randint(2, 6))
     recovery = finish(world, history, operators)
+    return result_of(seed, size, world, history, recovery, played.done)
+
+
+def result_of(
+    seed: int, size: int, world: World, history: History, recovery: float, troubles: list[str]
+) -> Result:
+    """What a world has shown that was played to its end."""
     return Result(
         seed,
         size,
@@ -75,26 +89,17 @@
         history.last_term,
         recovery,
         history.longest_answer,
-        played.done,
+        troubles,
+        sum(each.disk.snapshots for each in world.machines),
+        sum(each.answers for each in world.observers if isinstance(each, Certainty)),
     )
 
 
 def finish(world: World, history: History, operators: list[Operator]) -> float:
     """All is well again: an order is acknowledged in time, and the newest configuration is read back."""
-    since = world.now
     for operator in operators:
         operator.lose_answers = 0.0
-    before = history.acknowledgements
-    asker = Operator(world, "last", (0.0, 0.0))
-    asker.stopped = True
-    recovered = 0.0
-    while not asker.waits:
-        if not asker.busy:
-            asker.known = max((history.orders[each].version for each in history.place), default=0)
-            asker.give(asker.known)
-        if not world.run_while(lambda: asker.busy, since + ACKNOWLEDGED_WITHIN_S - world.now):
-            raise Violation("live", f"no order was acknowledged within {ACKNOWLEDGED_WITHIN_S} s, {before} before")
-        recovered = world.now - since
+    recovered = acknowledge(world, history, ACKNOWLEDGED_WITHIN_S)
     for operator in operators:
         operator.stopped = True
     world.run_for(2.5)
@@ -103,6 +108,22 @@
     return recovered
 
 
+def acknowledge(world: World, history: History, within_s: float) -> float:
+    """An operator gives proper orders until a new one is acknowledged, its own or another's; how long that took."""
+    since, before = world.now, history.newest_acknowledged()
+    asker = Operator(world, f"asker at {since:.3f}", (0.0, 0.0))
+    asker.stopped = True
+    while history.newest_acknowledged() == before:
+        if not asker.busy:
+            asker.give(history.newest_version())
+        waiting = world.run_while(
+            lambda: asker.busy and history.newest_acknowledged() == before, since + within_s - world.now
+        )
+        if not waiting:
+            raise Violation("live", f"no order was acknowledged within {within_s} s, {before} before")
+    return world.now - since
+
+
 def read_back(world: World, history: History) -> None:
     """Read at every machine; each answers, or names the one that does."""
     found: list[Outcome] = []
--- a/tests/fleet/simulation/world.py
+++ b/tests/fleet/simulation/world.py
@@ -99,7 +99,7 @@
             self.on_request(machine, order.request, order)
             return replica.submit(machine.now(), order)
 
-        machine.run(call)
+        machine.request(lambda: machine.run(call))
 
     def read(self, machine: Machine, answered: Callable[[Machine, Outcome], None]) -> None:
         """A read reaches a machine."""
@@ -110,7 +110,7 @@
             self.on_request(machine, request, None)
             return replica.read(machine.now(), request)
 
-        machine.run(call)
+        machine.request(lambda: machine.run(call))
 
     def new_request(self) -> int:
         return next(self._request)
