An order that may have been taken and forgotten is never refused

A machine remembers the newest 4,096 taken orders. An order that is sent again after so many later ones was not found among them, built on an old version, and was refused with 412: a refusal of an order that is in force. Versions climb along the line, so an order whose version lies below the oldest remembered one may have been taken: it gets no clear answer (503). Any other refusal stays certain. Shown with 8 remembered orders: the ninth later order brings about a refusal without the change, 'unsure' with it.

--- a/rosechute/coordination/chain.py
+++ b/rosechute/coordination/chain.py
@@ -166,6 +166,8 @@
             taken = current.version_taken(pending.order.digest)
             if taken is not None:
                 self._answer(pending, Acknowledged(taken))
+            elif current.forgets(pending.order.version):
+                self._answer(pending, Unsure())
             elif pending.order.base_version != current.version or pending.order.version <= current.version:
                 self._refusals.append(pending)
                 self._confirmer.ask(partial(self._refuse, pending), context.now)
--- a/rosechute/coordination/views.py
+++ b/rosechute/coordination/views.py
@@ -176,6 +176,11 @@
             return None
         return int.from_bytes(self.taken[found + DIGEST_BYTES : found + TAKEN_BYTES], "big")
 
+    def forgets(self, version: int) -> bool:
+        """Whether an order that brought this version may have been taken and be no longer among the kept ones."""
+        oldest = int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
+        return self.sequence > len(self.taken) // TAKEN_BYTES and version < oldest
+
     def after(self, epoch: int, version: int, body: bytes, digest: bytes) -> State:
         """The state after one more order."""
         entry = digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0") + version.to_bytes(8, "big")
