--- /dev/null
+++ b/tests/fleet/test_coordination_planted_worlds.py
@@ -0,0 +1,171 @@
+"""Planted faults for the checks of the kinds of worlds: cut-off machines, proper orders, members, disks."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from collections.abc import Callable, Collection
+from typing import Any
+from unittest import mock
+
+from rosechute.coordination import Stale, chain, confirm, membership, planning
+from rosechute.coordination.detector import Detector
+from rosechute.storage.record_store import RecordStore
+from tests.fleet.simulated_disk import SimulatedFolder
+from tests.fleet.simulation.checkers import Violation
+from tests.fleet.simulation.cluster import Cluster
+from tests.fleet.simulation.play import play
+from tests.fleet.simulation.worlds import Kind, play_world
+from tests.fleet.test_coordination_schedules import deposed_head_refuses, deposed_tail_reads
+
+SEEDS = 60
+WRONG = {"lost", "line", "read", "refused", "view", "term", "lease", "twice", "back"}
+
+
+def acknowledged_behind_a_cut(cluster: Cluster) -> None:
+    """The head hears nobody, and an order reaches it."""
+    cluster.settle()
+    head = cluster.role("head")
+    cluster.world.network.cut_off(head, outward=False)
+    cluster.run(1.5)
+    cluster.submit(head, cluster.make())
+    cluster.run(1.5)
+
+
+class PlantedInWorlds(unittest.TestCase):
+    def plant(self, target: Any, name: str, value: Any) -> None:
+        patch = mock.patch.object(target, name, value)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def objects(self, checks: Collection[str], worlds: Kind, first: int = 0) -> None:
+        """Some seed of this kind of worlds makes one of these checks object; the others don't count here."""
+        for seed in range(first, first + SEEDS):
+            try:
+                play_world(seed, worlds, judged=checks)
+            except Violation as violation:
+                if violation.check in checks:
+                    return
+        self.fail(f"no check objected in {SEEDS} seeds")
+
+    def objects_to(self, check: str, schedule: Callable[[Cluster], object]) -> None:
+        with self.assertRaises(Violation) as caught:
+            for seed in range(5):
+                schedule(Cluster(3, seed, {check}))
+        self.assertEqual(caught.exception.check, check)
+
+    # Answers of machines that are cut off
+
+    def test_refusal_without_a_majority(self) -> None:
+        self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
+        self.plant(chain.Chain, "_cut_off", lambda self: False)
+        self.objects_to("certain", deposed_head_refuses)
+
+    def test_read_without_a_majority(self) -> None:
+        self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
+        self.plant(chain.Chain, "_cut_off", lambda self: False)
+        self.objects_to("certain", deposed_tail_reads)
+
+    def test_acknowledgement_of_a_head_that_hears_nobody(self) -> None:
+        right = chain.Chain._stored
+
+        def stored(self: chain.Chain, epoch: int, sequence: int) -> None:
+            right(self, epoch, sequence)
+            self.note_committed(epoch, sequence)
+
+        self.plant(chain.Chain, "_stored", stored)
+        self.plant(chain.Chain, "_cut_off", lambda self: False)
+        self.objects_to("certain", acknowledged_behind_a_cut)
+
+    def test_schedule_of_the_head_holds_without_a_fault(self) -> None:
+        for seed in range(5):
+            acknowledged_behind_a_cut(Cluster(3, seed))
+
+    # Proper orders
+
+    def test_proper_order_refused(self) -> None:
+        def start(self: chain.Chain, pending: chain.PendingOrder) -> None:
+            self._answer(pending, Stale(self._context.memory.committed.version))
+
+        self.plant(chain.Chain, "_start", start)
+        self.objects({"proper"}, Kind.SHORT)
+
+    # Members after a loss
+
+    def test_empty_machine_does_not_join(self) -> None:
+        self.plant(planning, "_join", lambda view, joiner, situation: None)
+        self.objects({"joined"}, Kind.PACED)
+
+    def test_surplus_acceptor_stays(self) -> None:
+        right = planning._change_acceptors
+
+        def change(view: Any, situation: Any) -> Any:
+            changed = right(view, situation)
+            return None if changed is not None and len(changed.acceptors) < len(view.acceptors) else changed
+
+        self.plant(planning, "_change_acceptors", change)
+        self.objects({"surplus"}, Kind.PACED)
+
+    def test_returned_machine_does_not_catch_up(self) -> None:
+        self.plant(Detector, "settled", lambda self, now, machine_id: False)
+        self.plant(membership.Membership, "fetch_if_behind", lambda self, sender, beat: None)
+        self.objects({"behind"}, Kind.PACED)
+
+    def test_running_process_taken_for_an_ended_one_for_ever(self) -> None:
+        right = Detector.heard
+
+        def heard(self: Detector, now: float, identity: Any, boot: int, beat: Any) -> Any:
+            peer = self.peers.get(identity.id)
+            if peer is not None and boot in peer.past_boots:
+                return peer
+            return right(self, now, identity, boot, beat)
+
+        self.plant(Detector, "heard", heard)
+        self.objects({"joined", "behind", "surplus"}, Kind.RACES, first=36)
+
+    def test_no_order_after_a_loss(self) -> None:
+        self.plant(membership, "needed_view", lambda view, situation: None)
+        self.objects({"live"}, Kind.PACED)
+
+    # Disks
+
+    def test_syncs_do_nothing(self) -> None:
+        self.plant(SimulatedFolder, "sync", lambda self, name: None)
+        self.objects(WRONG, Kind.DISKS, first=45)
+
+    def test_snapshot_is_not_synced(self) -> None:
+        right = SimulatedFolder.sync
+
+        def sync(self: SimulatedFolder, name: str) -> None:
+            if not name.endswith(".slot"):
+                right(self, name)
+
+        self.plant(SimulatedFolder, "sync", sync)
+        self.objects(WRONG | {"live"}, Kind.DISKS)
+
+    def test_log_goes_on_behind_a_write_that_failed(self) -> None:
+        self.plant(RecordStore, "appendable", property(lambda self: True))
+        right = RecordStore.append
+
+        def append(self: RecordStore, batches: Any) -> Any:
+            self._appendable = True
+            return right(self, batches)
+
+        self.plant(RecordStore, "append", append)
+        self.objects(WRONG | {"live"}, Kind.DISKS)
+
+
+class TimeOfDay(unittest.TestCase):
+    def test_steps_of_the_time_of_day_change_nothing(self) -> None:
+        """Nothing that decides reads it: a world is the same under a time of day that steps by hours."""
+        steps = iter(range(0, 10**9, 7200))
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                right = play(seed)
+                with mock.patch.object(time, "time", lambda: float(next(steps) % 86_400)):
+                    stepping = play(seed)
+                self.assertEqual(right, stepping)
+
+
+if __name__ == "__main__":
+    unittest.main()
