--- a/rosechute/coordination/views.py
+++ b/rosechute/coordination/views.py
@@ -181,8 +181,8 @@
 
         The versions of taken orders only rise: none but those below the oldest one that is remembered can be missing.
         """
-        oldest = int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
-        return self.sequence > len(self.taken) // TAKEN_BYTES and version < oldest
+        full = len(self.taken) >= TAKEN_BYTES * TAKEN_ORDERS
+        return full and version < int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
 
     def after(self, epoch: int, version: int, body: bytes, digest: bytes) -> State:
         """The state after one more order."""
