--- a/rosechute/coordination/memory.py
+++ b/rosechute/coordination/memory.py
@@ -86,8 +86,8 @@
             self._apply_whole(record.whole)
 
     def _apply_machine(self, record: pb.MachineRecord) -> None:
-        self.machine = identity_of(record.machine)
-        self.newcomer = record.newcomer
+        if self.machine is None:  # the first record of a disk; again only behind a whole record that knows more
+            self.machine, self.newcomer = identity_of(record.machine), record.newcomer
 
     def _apply_promise(self, epoch: int, ballot: Ballot) -> None:
         if epoch == self.view.epoch and (self.promised is None or ballot > self.promised):
@@ -136,7 +136,7 @@
             self.grantee, self.grantee_number = record.holder, record.number
 
     def _apply_whole(self, record: pb.WholeRecord) -> None:
-        self._apply_machine(record.machine)
+        self.machine, self.newcomer = identity_of(record.machine.machine), record.machine.newcomer
         self.view = view_of(record.view)
         self.committed, self.written = state_of(record.committed), None
         if record.HasField("written"):
--- a/rosechute/coordination/proposer.py
+++ b/rosechute/coordination/proposer.py
@@ -76,7 +76,7 @@
         self._choose = choose
         self._decided = decided
         self._round: _Round | None = None
-        self._highest = 0  # ballot round seen
+        self._highest = 0  # ballot round seen, in any epoch: no ballot of this process names two proposals
         self.not_before = 0.0
 
     @property
@@ -117,7 +117,6 @@
     def stop(self) -> None:
         """The epoch has changed."""
         self._round = None
-        self._highest = 0
 
     def on_promise(self, sender: Identity, promise: pb.Promise) -> None:
         """An acceptor promises."""
