--- a/tests/fleet/exploration/choices.py
+++ b/tests/fleet/exploration/choices.py
@@ -76,9 +76,11 @@
     return [str(choice.machine), choice.note] if choice.note else [str(choice.machine)]
 
 
-# Calls of the operators: two orders with the same number and base and different bytes, each repeated, and reads.
+# Calls of the operators: two orders with the same number and base and different bytes, each repeated, one that builds
+# on either of them, and reads. The request's number is the place of the name.
 
-CALLS = ("order-one", "order-two", "order-one-again", "order-two-again", "read-one", "read-two")
+CALLS = ("order-one", "order-two", "order-one-again", "order-two-again", "read-one", "read-two", "order-next")
+VERSIONS = {"order-one": (1, 2), "order-two": (1, 2), "order-next": (2, 3)}  # base, and its own
 
 
 def call(world: World, machine: Machine, name: str) -> None:
@@ -88,13 +90,14 @@
     if name.startswith("read"):
         world.read(machine, request)
     else:
-        world.submit(machine, order(world, name.removesuffix("-again"), request))
+        world.submit(machine, order(name.removesuffix("-again"), request))
 
 
-def order(world: World, name: str, request: int) -> Order:
-    """An order on the configuration that all roots begin with."""
-    body = f"2 on 1, {name}".encode()
-    return Order(request, 1, 2, body, hashlib.sha256(body).digest())
+def order(name: str, request: int) -> Order:
+    """One of the operators' orders. All roots begin with version 1."""
+    base, version = VERSIONS[name]
+    body = f"{version} on {base}, {name}".encode()
+    return Order(request, base, version, body, hashlib.sha256(body).digest())
 
 
 def play(world: World, choice: Choice) -> None:
--- a/tests/fleet/exploration/roots.py
+++ b/tests/fleet/exploration/roots.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 
 from rosechute.coordination import Acknowledged, Order, Timing
+from rosechute.messages.coordination_pb2 import CoreMessage
 from tests.fleet.exploration.choices import call
-from tests.fleet.exploration.world import World
+from tests.fleet.exploration.world import Link, World
 
 FORMED_S = 3.0
 WAIT_S = 5.0  # a root's moment comes within this time
@@ -55,10 +56,25 @@
     raise AssertionError("the moment of this root does not come")
 
 
+def losing(world: World, lost: Callable[[Link, CoreMessage], bool], condition: Callable[[], bool]) -> None:
+    """Calm time until something is so, in which some messages are lost."""
+
+    def now_so() -> bool:
+        for link, queue in world.links.items():
+            world.links[link] = tuple(each for each in queue if not lost(link, each))
+        return condition()
+
+    until(world, now_so)
+
+
+def _is(message: CoreMessage, kind: str) -> bool:
+    return message.WhichOneof("body") == kind
+
+
 def on_its_way(world: World, kind: str, source: int | None = None) -> bool:
     """Whether a message of this kind is on a link."""
     return any(
-        each.WhichOneof("body") == kind
+        _is(each, kind)
         for link, queue in world.links.items()
         if source is None or link[0] == source
         for each in queue
@@ -104,6 +120,40 @@
     until(world, lambda: on_its_way(world, "accept"))
 
 
+def two_proposers(world: World) -> None:
+    """The leader asks to accept its second proposal; another acceptor, which missed that one, asks for promises."""
+    epoch_being_sealed(world)
+    first = _newest_round(world)
+    losing(world, lambda link, message: _is(message, "accept"), lambda: _newest_round(world) > first)
+
+    def missed(link: Link, message: CoreMessage) -> bool:
+        return link[0] == LEADER and link[1] != 1 and (_is(message, "prepare") or _is(message, "accept"))
+
+    losing(world, missed, lambda: on_its_way(world, "accept", LEADER))
+    world.cuts = frozenset({(LEADER, 1)})
+    others = [each.number for each in world.machines[1:]]
+    losing(world, missed, lambda: any(on_its_way(world, "prepare", each) for each in others))
+    world.cuts = frozenset()
+
+
+def _newest_round(world: World) -> int:
+    """The newest ballot for which the leader's requests for promises are on their way."""
+    rounds = [
+        message.prepare.ballot.round
+        for link, queue in world.links.items()
+        for message in queue
+        if link[0] == LEADER and _is(message, "prepare")
+    ]
+    return max(rounds, default=0)
+
+
+def member_leaving(world: World) -> None:
+    """The tail is told to end and says so, with an order on its way."""
+    order_at_the_tail(world)
+    tail = world.machines[_tail(world)]
+    tail.run(lambda replica: replica.resign(tail.now()))
+
+
 def sealed_with_an_order(world: World) -> None:
     """An order is on its way through the chain as the leader asks for promises: a machine asks to join."""
     world.add_machine("another").start()
@@ -174,13 +224,11 @@
 
 def another_leader(world: World) -> None:
     """The head has lost the leader lease to the next member, as its requests for the lease were lost."""
-    for _ in world.calm_moments(WAIT_S):
-        for link, queue in world.links.items():
-            if link[0] == LEADER:
-                world.links[link] = tuple(each for each in queue if each.WhichOneof("body") != "lease_request")
-        if any(each.replica and each.replica.is_leader(each.now()) for each in world.machines[1:]):
-            return
-    raise AssertionError("no other machine leads")
+    losing(
+        world,
+        lambda link, message: link[0] == LEADER and _is(message, "lease_request"),
+        lambda: any(each.replica and each.replica.is_leader(each.now()) for each in world.machines[1:]),
+    )
 
 
 def late_write(world: World) -> None:
@@ -224,11 +272,13 @@
 
 
 ROOTS = (
-    Root("one_order", one_order, ("order-two",)),
+    Root("one_order", one_order, ("order-two", "order-next")),
     Root("order_at_the_tail", order_at_the_tail, ("order-two", "read-one")),
     Root("order_acknowledged", order_acknowledged, ("order-one-again", "order-two", "read-one")),
     Root("epoch_being_sealed", epoch_being_sealed, ("order-one",)),
     Root("epoch_sealed", epoch_sealed, ("order-one", "order-two")),
+    Root("two_proposers", two_proposers, ("order-one",)),
+    Root("member_leaving", member_leaving, ("order-one-again",)),
     Root("sealed_with_an_order", sealed_with_an_order, ("order-one-again",)),
     Root("order_crosses_the_seal", order_crosses_the_seal, ("order-one-again",)),
     Root("member_wiped", member_wiped, ("order-one-again", "read-one"), disk_lost=True),
