--- a/tests/fleet/test_coordination_planted_worlds.py
+++ b/tests/fleet/test_coordination_planted_worlds.py
@@ -59,6 +59,7 @@
     def test_refusal_without_a_majority(self) -> None:
         self.plant(confirm.Confirmer, "ask", lambda self, done, since: done(True))
         self.plant(chain.Chain, "_cut_off", lambda self: False)
+        self.plant(chain.Chain, "_early", lambda self, order: False)
         self.objects_to("certain", deposed_head_refuses)
 
     def test_read_without_a_majority(self) -> None:
