--- a/tests/fleet/simulation/losses.py
+++ b/tests/fleet/simulation/losses.py
@@ -33,6 +33,7 @@
         self._kinds: list[tuple[Callable[[Machine], float], int]] = [
             (self.killed, 2),
             (self.power_lost, 2),
+            (self.restarted_as_planned, 2),
             (self.wiped, 3),
             (self.replaced, 4),
             (self.replaced_late, 1),
@@ -106,6 +107,17 @@
         machine.kill()
         return self._at(self.random.uniform(*BACK_S), self._start, machine)
 
+    def restarted_as_planned(self, machine: Machine) -> float:
+        """SIGTERM, and the next process."""
+        self._resign(machine)
+        self._at(FAREWELL_S, machine.kill)
+        return self._at(FAREWELL_S + self.random.uniform(*BACK_S), self._start, machine)
+
+    def gone(self, machine: Machine) -> float:
+        """Gone for good, and no other comes. Uses up the tolerance: for the last loss of a day."""
+        self._remove(machine)
+        return self.world.now
+
     def power_lost(self, machine: Machine) -> float:
         machine.power_loss()
         return self._at(self.random.uniform(*BACK_S), self._start, machine)
