--- a/tests/fleet/simulation/worlds.py
+++ b/tests/fleet/simulation/worlds.py
@@ -22,6 +22,7 @@
 from tests.fleet.simulation.races import Races
 from tests.fleet.simulation.world import World
 
+SIZES = ((3, 1), (3, 1), (4, 1), (5, 1), (5, 2), (5, 2), (6, 2), (7, 2), (8, 2))  # machines, tolerance
 CONTACT_S = 3.0  # the core counts as stable so long after the last event
 ACK_S = 4.0
 STABLE_ACK_S = CONTACT_S + ACK_S
@@ -107,7 +108,19 @@
 def begin(seed: int, change: Callable[[World], None] | None, judged: Collection[str] | None) -> Stage:
     """Form a cluster of 3 to 8 machines that bears the loss of one or two."""
     random = Random(seed)
-    size, tolerance = random.choice(((3, 1), (3, 1), (4, 1), (5, 1), (5, 2), (5, 2), (6, 2), (7, 2), (8, 2)))
+    size, tolerance = random.choice(SIZES)
+    return form(seed, size, tolerance, random, change, judged)
+
+
+def form(
+    seed: int,
+    size: int,
+    tolerance: int,
+    random: Random,
+    change: Callable[[World], None] | None = None,
+    judged: Collection[str] | None = None,
+) -> Stage:
+    """Form a cluster of this size under all checkers."""
     world = World(seed, size)
     world.compaction = random.choice(SNAPSHOTS)
     history = History(world, judged)
