--- a/rosechute/coordination/views.py
+++ b/rosechute/coordination/views.py
@@ -176,10 +176,13 @@
             return None
         return int.from_bytes(self.taken[found + DIGEST_BYTES : found + TAKEN_BYTES], "big")
 
-    def forgets(self, version: int) -> bool:
-        """Whether an order that brought this version may have been taken and be no longer among the kept ones."""
-        oldest = int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
-        return self.sequence > len(self.taken) // TAKEN_BYTES and version < oldest
+    def may_have_forgotten(self, version: int) -> bool:
+        """Whether an order of this version may have been taken that is not remembered any more.
+
+        The versions of taken orders only rise: none but those below the oldest one that is remembered can be missing.
+        """
+        full = len(self.taken) >= TAKEN_BYTES * TAKEN_ORDERS
+        return full and version < int.from_bytes(self.taken[DIGEST_BYTES:TAKEN_BYTES], "big")
 
     def after(self, epoch: int, version: int, body: bytes, digest: bytes) -> State:
         """The state after one more order."""
--- a/rosechute/data/attempt.py
+++ b/rosechute/data/attempt.py
@@ -116,7 +116,9 @@
 
     def _begin(self, reply: Reply, length: int | None) -> Sink | None:
         if self.state is not AttemptState.SENT or self._link is None or not self._link.wire.written:
-            return None  # answered before the request was out
+            # A success that begins before the request is out says nothing of what is still to come. A whole answer
+            # is taken (`_replied`).
+            return None
         sink = self._owner.begin(self, reply, length)
         if sink is not None and self.state is AttemptState.SENT:
             self.state = AttemptState.PASSING
@@ -129,12 +131,21 @@
         if reply is None:
             self._end(verdict.RESET if link.wire.touched else verdict.CONNECT_FAILED)
             return
+        if not self._names_this_request(reply):
+            link.wire.abort()
+            self._end(verdict.RESET)
+            return
         if link.wire.written:
             self._servers.release(link, reply)
         else:
             link.wire.abort()  # what is left of the request would follow
         self._end(verdict.of_reply(reply, self.server.id))
 
+    def _names_this_request(self, reply: Reply) -> bool:
+        """Whether an answer carries the id of this request and no other one."""
+        name, expected = self._echo
+        return [value for key, value in reply.headers if key == name] == [expected]
+
     def _end(self, ending: Verdict) -> None:
         if self.state is not AttemptState.OVER:
             self.state = AttemptState.OVER
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -15,10 +15,11 @@
 from rosechute.configuration.process import ProcessSettings
 from rosechute.data.admission import Admitted, InForce, Refusal
 from rosechute.data.dispatcher import Dispatcher, RouterPort
+from rosechute.data.durations import RouteDurations
 from rosechute.data.front import Front
 from rosechute.data.ports import Freshness, QuotaTokens
 from rosechute.data.report import ClientsReport
-from rosechute.data.request import ClientRequest
+from rosechute.data.request import STOPPING_RETRY_S, ClientRequest
 from rosechute.data.servers import Servers
 from rosechute.data.shutdown import Shutdown
 from rosechute.routing.model import AttemptResult, ServerEntry
@@ -29,6 +30,7 @@
 LEAST_SOCKETS = 64  # descriptors that clients and servers get in any case
 LEASE_MARGIN_S = 0.3  # a request is sent no later than so long before the lease on the configuration ends
 LEASE_RETRY_S = 1.0  # when to come back where the lease has ended
+NEWEST_WITHIN_S = 1.0  # without a confirmation for so long there may be a newer configuration; one is due every 0.4 s
 STARTS_WITHIN_S = 2.0  # after a start of everything at once, configuration and lists are here within so long
 UNREADY_RETRY_S = 0.35  # when to come back at the earliest where they are not
 RETRY_SPREAD = 0.15  # part of such a time by which clients are spread
@@ -50,6 +52,7 @@
         self.servers = Servers(loop, self.budget, shares.servers)
         self.front = Front(loop, self.budget, shares.clients, self._admit, self._take)
         self._dispatcher = Dispatcher(loop, router, self.servers)
+        self._durations = RouteDurations()
         self._in_force: InForce | None = None
         self._edges = 1
         self._started = loop.time()
@@ -75,7 +78,7 @@
     def begin_shutdown(self) -> None:
         """Be no longer ready, and let each answer be the last on its connection. Told twice, the first one holds."""
         if self._shutdown is None:
-            self._shutdown = Shutdown(self.loop, self.front, self._settings.bounds.grace_s)
+            self._shutdown = Shutdown(self.loop, self.front, self._durations, self._settings.bounds.grace_s)
 
     async def finish_shutdown(self) -> None:
         """Serve on until nothing is open or the time is over."""
@@ -99,6 +102,7 @@
             return
         self._in_force = InForce(configuration, sequence)
         self.front.apply_limits(configuration.limits)
+        self._durations.keep({route.name for route in configuration.routes})
         kept = {service.name for service in configuration.services}
         self._dispatcher.forget_services(kept)
         had = {service.name for service in before.configuration.services} if before is not None else set()
@@ -146,14 +150,24 @@
             return self._not_ready()
         admitted = in_force.admit(message, ticket, self.loop.time(), self._draw)
         if isinstance(admitted, Refusal):
-            # By a configuration that may be out of date nobody is told for good that there is no route or key.
-            return admitted if admitted.status == 400 or self._up_to_date() else self._not_ready()
+            return self._refusal(admitted)
         if in_force.needs_key(admitted.route) and not self._lease_holds():
             return self._not_ready()
         if admitted.service not in self._lists:
             return self._not_ready()
+        if self._shutdown is not None and not self._shutdown.can_finish(admitted):
+            return Refusal(503, STOPPING_RETRY_S)
         return admitted
 
+    def _refusal(self, refusal: Refusal) -> Refusal:
+        """A refusal by the configuration in force. While that may be out of date, nobody is told for good that there
+        is no such route or key: 503 may be tried again."""
+        return refusal if refusal.status == 400 or self._newest_in_force() else self._not_ready()
+
+    def _newest_in_force(self) -> bool:
+        """Whether no newer configuration than the one in force can have been acknowledged for more than a moment."""
+        return self._clock() - self._freshness.confirmed_at() < NEWEST_WITHIN_S
+
     def _not_ready(self) -> Refusal:
         """Come back when this edge is likely to know what it needs."""
         if self._freshness.confirmed_at() == -math.inf:
@@ -193,8 +207,14 @@
 
     def report(self, request: ClientRequest, server_id: str, result: AttemptResult, again: bool) -> None:
         """Tell the router how an attempt ended or went on."""
+        if result is AttemptResult.DONE and not again:
+            self._durations.add(request.admitted.route.name, self.loop.time() - request.admitted.arrived)
         self._dispatcher.report(request, server_id, result, again)
 
+    def may_go_elsewhere(self, request: ClientRequest) -> bool:
+        """Whether the router would send it to another server now if the one that it is at failed it."""
+        return self._dispatcher.may_go_elsewhere(request)
+
     def withdraw(self, request: ClientRequest) -> None:
         """Tell the router that nothing more is wanted for it."""
         self._dispatcher.withdraw(request)
@@ -206,7 +226,7 @@
         if admitted.sequence != in_force.sequence:
             allowed = in_force.allows(admitted.host, admitted.path, admitted.key)
             if isinstance(allowed, Refusal):
-                return allowed
+                return self._refusal(allowed)
             if allowed[1] != admitted.tenant and _name(allowed[1]) != _name(admitted.tenant):
                 return Refusal(503, UNREADY_RETRY_S)  # the key is another tenant's by now
             admitted.sequence = in_force.sequence
--- a/tests/fleet/test_data_streams.py
+++ b/tests/fleet/test_data_streams.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
+
+import msgspec
 
 from tests.fleet.data_site import (
     Call,
     Client,
     Script,
+    Server,
     Site,
     SiteCase,
     Talk,
@@ -46,6 +50,13 @@
     return script
 
 
+async def read_head_alone(talk: Talk) -> Call:
+    """A server that answers before it reads a body."""
+    head = await talk.reader.readuntil(b"\r\n\r\n")
+    talk.call = Call(head, asyncio.get_running_loop().time())
+    return talk.call
+
+
 class Streams(SiteCase):
     def test_head_and_events_are_passed_on_as_they_come(self) -> None:
         async def scene() -> None:
@@ -142,6 +153,61 @@
             site.close()
         self.play(scene)
 
+    def test_a_stream_without_chunks_is_whole_only_behind_a_whole_event_and_a_close(self) -> None:
+        async def scene() -> None:
+            for path in ("/stream/1", "/resume/1"):
+                for end in ("close", "reset", "inside an event"):
+                    async def unframed(talk: Talk, call: Call) -> None:
+                        talk.writer.write(talk.head(200, "Content-Type: text/event-stream"))
+                        for number in (1, 2):
+                            await asyncio.sleep(0.1)
+                            talk.writer.write(event(number))
+                            await talk.writer.drain()
+                        if end == "inside an event":  # noqa: B023
+                            talk.writer.write(b"id: 3\nda")
+                        await asyncio.sleep(0.1)
+                        if end == "reset":  # noqa: B023
+                            talk.reset()
+                        raise ConnectionError
+
+                    site = await Site().start(s1=unframed)
+                    answer = await site.ask(path)
+                    self.assertEqual((answer.status, answer.whole), (200, end == "close"), (path, end))
+                    self.assertTrue(answer.body.startswith(events(1, 2)))
+                    if path == "/resume/1":
+                        self.assertEqual(answer.body, events(1, 2))
+                    site.close()
+        self.play(scene)
+
+    def test_a_stream_that_begins_before_its_request_is_out_is_none(self) -> None:
+        """Nothing of it is passed on, and its connection is not used again: the rest of the body is due there."""
+        async def scene() -> None:
+            async def early(talk: Talk, call: Call) -> None:
+                talk.begin()
+                for number in (1, 2):
+                    talk.event(number)
+                    await asyncio.sleep(0.1)
+                talk.finish()
+
+            body = b"x" * 200_000
+            for path in ("/stream/1", "/resume/1"):
+                site = await Site(memory_mb=66).start(s1=early)
+                with mock.patch.object(Talk, "read", read_head_alone):
+                    client = await site.client()
+                    head = (
+                        b"POST %s HTTP/1.1\r\nHost: app.example\r\nX-Rosechute-Request-Id: b\r\n"
+                        b"X-Rosechute-Credential: k1\r\nContent-Length: 200000\r\n\r\n" % path.encode()
+                    )
+                    client.writer.write(head + body[:150_000])
+                    answer = await client.answer()
+                self.assertEqual((answer.status, answer.whole, answer.body), (502, True, b""))
+                await asyncio.sleep(0.1)
+                server = site.plane.servers.find("s1")
+                assert server is not None
+                self.assertEqual((server.links, len(site.plane.front.requests), site.plane.budget.used), (0, 0, 0))
+                site.close()
+        self.play(scene)
+
     def test_a_stream_that_may_not_be_resumed_is_cut_promptly(self) -> None:
         async def scene() -> None:
             for then in ("reset", "close", "half"):
@@ -207,6 +273,52 @@
             site.close()
         self.play(scene)
 
+    def test_a_server_that_falls_silent_is_kept_while_no_other_one_may_go_on(self) -> None:
+        """Found: a stream whose only server paused for long was cut a quarter of its client's patience too early."""
+        async def scene() -> None:
+            async def pauses(talk: Talk, call: Call) -> None:
+                talk.begin()
+                talk.event(1)
+                await asyncio.sleep(3.5)  # of the 4 s that its client bears
+                talk.event(2)
+                talk.finish()
+
+            site = await Site().start(s1=pauses)
+            for service_budget in (True, False):
+                if not service_budget:  # another server is there, but a further attempt is not affordable
+                    await site.serve("svc", s1=pauses, s2=pauses)
+                    site.plane._dispatcher.apply_retry_budget(
+                        msgspec.structs.replace(site.settings.bounds, retry_budget_ratio=0.0, retry_slack=0), 1)
+                answer = await site.ask("/resume/1")
+                self.assertEqual((answer.whole, answer.body), (True, events(1, 2)))
+            self.assertEqual(len(site.calls), 1)
+            site.close()
+        self.play(scene)
+
+    def test_a_silent_server_is_left_as_soon_as_another_one_may_go_on(self) -> None:
+        async def scene() -> None:
+            site = await Site().start(s1=streaming(2, then="silence"))
+            client = await site.client()
+            client.send("/resume/1", deadline=5000)
+            await client.head()
+            for number in (1, 2):
+                self.assertEqual(await client.piece(), event(number))
+            heard = site.loop.time()
+            await asyncio.sleep(3.3)  # a server was wanted from 2.95 s on
+            await self._join(site, "s2", streaming(5))
+            self.assertEqual(await client.piece(), event(3))
+            self.assertLess(site.loop.time() - heard, 4.0)
+            site.close()
+        self.play(scene)
+
+    @staticmethod
+    async def _join(site: Site, name: str, script: Script) -> None:
+        """One more server of the service."""
+        server = Server(site, name, script)
+        await server.start()
+        site.servers[name] = server
+        site.list(*(each.entry for each in site.servers.values()))
+
     def test_a_stream_that_never_begins_is_answered_for_before_its_client_gives_up(self) -> None:
         async def scene() -> None:
             site = await Site().start(s1=until_closed)
--- a/tests/fleet/test_distribution_clusters.py
+++ b/tests/fleet/test_distribution_clusters.py
@@ -7,7 +7,8 @@
 from rosechute.distribution.home_links import FollowState
 from rosechute.distribution.homes import home
 from rosechute.distribution.values import CONFIG_TOPIC, list_topic
-from tests.fleet.distribution_world import Machine, World
+from tests.fleet.distribution_machines import Machine
+from tests.fleet.distribution_world import World, setUpModule, tearDownModule  # noqa: F401
 
 
 def calm(world: World, seconds: float = 6.0) -> World:
@@ -25,6 +26,26 @@
     return next(machine for machine in world.edge if machine.name == name)
 
 
+def reading_under_way_while_another_machine_leads() -> World:
+    """The leader has called for the list; another machine leads for a moment and tells a newer one; the first leads
+    again, and then its old call is answered."""
+    world = calm(World(seed=44))
+    first, second = world.core[0], world.core[1]
+    while world.reading(first):
+        world.run(0.001)
+    world.platform_s = (0.25, 0.25)
+    while not world.reading(first):
+        world.run(0.001)
+    world.run(0.26)  # the call has been read at the platform, its answer is on the way
+    world.platform_s = (0.002, 0.002)
+    world.change_list()
+    world.elect(second)
+    world.run(0.12)
+    world.elect(first)
+    world.run(6.0)
+    return world
+
+
 class CalmTest(unittest.TestCase):
     def test_configuration_and_lists_reach_everybody(self) -> None:
         world = calm(World(seed=1))
@@ -57,16 +78,9 @@
 
     def test_a_service_that_the_new_leader_does_not_find_has_no_servers(self) -> None:
         world = calm(World(seed=4))
-        services = ("listing",)
-        import tests.fleet.distribution_world as module
-
-        former = module.SERVICES
-        try:
-            module.SERVICES = services  # type: ignore[assignment]
-            world.elect(world.core[1])
-            world.run(4.0)
-        finally:
-            module.SERVICES = former
+        world.services = ("listing",)
+        world.elect(world.core[1])
+        world.run(4.0)
         for machine in world.edge:
             assert machine.process is not None
             self.assertEqual(machine.process.list_versions["model"], 0)
@@ -256,13 +270,16 @@
             world.run(0.4 + 0.2 * (turn % 4))
         world.run(8.0)
 
+    def test_a_reading_under_way_while_another_machine_leads(self) -> None:
+        reading_under_way_while_another_machine_leads()
+
     def test_edges_stay_fresh_while_there_is_no_leader(self) -> None:
         world = calm(World(seed=42))
         world.elect(None)
         world.commit()
         world.run(4.0)
         for machine in world.edge:
-            self.assertLess(world.now - world.subscriber(machine).confirmed_at, 1.5)
+            self.assertLess(world.confirmed_age(machine), 1.5)
             self.assertEqual(world.subscriber(machine).position(CONFIG_TOPIC), (0, 2))
 
     def test_the_number_of_edges_follows_starts_and_ends(self) -> None:
