--- a/tests/fleet/test_coordination_worst_planted.py
+++ b/tests/fleet/test_coordination_worst_planted.py
@@ -12,6 +12,7 @@
 from rosechute.coordination.planning import Situation
 from rosechute.coordination.views import View
 from rosechute.messages import coordination_pb2 as pb
+from tests.fleet import test_coordination_membership as membership_days
 from tests.fleet import test_coordination_worst_days as days
 
 
@@ -88,6 +89,10 @@
         self.plan_without("leaving")
         self.assert_fails(days.SecondLoss("test_a_surplus_member_leaves_and_the_next_loss_follows_at_once"))
 
+    def test_surplus_members_counted_on_in_random_days(self) -> None:
+        self.plan_without("leaving")
+        self.assert_fails(membership_days.MembershipDays("test_days"))
+
     def test_nothing_handed_over(self) -> None:
         self.plant(membership, "needed_view", lambda view, situation: None)
         self.assert_fails(days.SecondLoss("test_a_leaving_member_hands_over_before_it_ends"))
