--- a/rosechute/data/attempt.py
+++ b/rosechute/data/attempt.py
@@ -116,7 +116,9 @@
 
     def _begin(self, reply: Reply, length: int | None) -> Sink | None:
         if self.state is not AttemptState.SENT or self._link is None or not self._link.wire.written:
-            return None  # answered before the request was out
+            # A success that begins before the request is out says nothing of what is still to come. A whole answer
+            # is taken (`_replied`).
+            return None
         sink = self._owner.begin(self, reply, length)
         if sink is not None and self.state is AttemptState.SENT:
             self.state = AttemptState.PASSING
