--- a/tests/fleet/test_planted_wallets.py
+++ b/tests/fleet/test_planted_wallets.py
@@ -367,6 +367,60 @@
         self.wallet._round_s = 9.0
         self.assertEqual(self.wallet._crowded_s(ANSWER_S), WAIT_CROWDED_S)
 
+    def test_patience_with_a_leader_that_has_answered(self) -> None:
+        self.wallet._round_s = 0.15
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.1)
+        self.wallet._round_s = 0.15
+        self.tick(0.44)
+        self.assertEqual(self.told, [])
+        self.tick(0.46)
+        self.assertEqual(len(self.told), 1)
+
+    def test_a_leader_that_is_gone_is_not_waited_for(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.1)
+        self.tick(0.05, 0.5)
+        self.assertEqual(self.told, [("a", False, 1.5)], "what it said of its bucket is void")
+
+    def test_when_to_come_back_to_a_leader_that_said_when(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 0, retry_s=0.29)
+        self.told.clear()
+        self.spend(0.1, "b", 5)
+        self.tick(0.22)
+        self.assertEqual(self.told, [("b", False, 0.08)])
+
+    def test_a_smaller_request_waits_on_where_a_larger_one_is_refused(self) -> None:
+        self.spend(0.0, "large", 50)
+        self.ask(0.0)
+        self.spend(0.0, "small", 5)
+        self.issue(0.01, 0, retry_s=0.5)
+        self.assertEqual(self.told, [("large", False, 0.5)])
+
+    def test_void_tokens_behind_others_that_live_longer(self) -> None:
+        self.spend(0.0, "a", 5)
+        self.ask(0.0)
+        self.issue(0.01, 8, lifetime_s=9.0)
+        self.spend(1.0, "b", 10)
+        self.ask(1.0)
+        self.issue(1.2, 10, lifetime_s=0.1)
+        self.assertEqual((self.names(), self.wallet.held(1.2, "t")), (["a"], 3))
+
+    def test_something_is_asked_for_where_the_lease_covers_meanwhile(self) -> None:
+        self.lease_held_with(0)
+        self.spend(1.0, "a", 18)
+        self.ask(1.0)
+        (ask,) = self.ask(1.21)
+        self.assertEqual((ask.least, ask.tokens >= 1), (1, True))
+
+    def test_an_ask_that_asks_for_nothing_is_not_remembered(self) -> None:
+        self.ask(0.0)
+        self.assertEqual(self.wallet._asks, {})
+
     def test_when_something_is_due(self) -> None:
         self.assertEqual(self.wallet.next_due(None), math.inf)
         self.spend(0.0, "a", 5)
@@ -390,6 +444,16 @@
         self.assertLess(self.wallet.report_due(6.9), math.inf)
         self.assertEqual(self.wallet.report_due(7.0), math.inf)
 
+    def test_a_report_of_nothing_is_none(self) -> None:
+        self.assertEqual(self.wallet.report(0.0, 7), [])
+        self.spend(0.1, "a", 8)
+        self.assertEqual(len(self.wallet.report(0.1, 8)), 1)
+
+    def test_tenants_without_demand_are_not_reported(self) -> None:
+        self.spend(0.0, "a", 8, "u")
+        self.spend(DEMANDED_S, "b", 8)
+        self.assertEqual([each.tenant for each in self.wallet.report(DEMANDED_S, 7)], ["t"])
+
     def test_demand_fades(self) -> None:
         self.spend(0.0, "a", 8)
         (told,) = self.wallet.report(3.0, 7)
