Give a silent stream up before its client does: lateness counts from when the timer was to come

The watch over a silent server took itself for late (the process stood still) at each look after the first, since it compared with when the server was to be left and not with when its timer was to come. Every other look, and the last one, was put off by 50 ms: a stream that no other server could go on with was given up at the moment when its client gives up, 4.00 s in place of 3.95 s, and its 504 crossed the client's end.

--- a/rosechute/data/silence.py
+++ b/rosechute/data/silence.py
@@ -36,7 +36,7 @@
 
     __slots__ = (
         "answer_begun", "client_paused", "server_heard_at", "client_heard_at", "_loop", "_admitted", "_owner",
-        "_timer", "_catching_up",
+        "_timer", "_timer_at", "_catching_up",
     )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, admitted: Admitted) -> None:
@@ -47,6 +47,7 @@
         self._loop, self._admitted = loop, admitted
         self._owner: SilenceOwner | None = None  # None where the watch has stopped
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = math.inf  # when it is to come
         self._catching_up = False  # whether this process has stood still, and has time to read what came meanwhile
 
     def start(self, owner: SilenceOwner) -> None:
@@ -78,7 +79,7 @@
         if self.client_paused:
             self.server_heard_at = self.client_heard_at = now  # it is the client that is slow
         due_at = self._due_at()
-        if now > due_at + LATE_S and not self._catching_up:
+        if now > self._timer_at + LATE_S and not self._catching_up:
             self._catching_up = True
             self._set_timer(now + CATCH_UP_S)
             return
@@ -120,4 +121,5 @@
     def _set_timer(self, at: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._timer_at = at
         self._timer = self._loop.call_at(at, self.look) if at < math.inf else None
