--- a/tests/fleet/planted_faults/__main__.py
+++ b/tests/fleet/planted_faults/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import signal
 import sys
 
 import fire
@@ -88,5 +89,11 @@
     print(make_table())
 
 
+def _ended(*_: object) -> None:
+    """SIGTERM: what was played so far is written, and the copies are removed."""
+    sys.exit("ended by a signal")
+
+
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, _ended)
     fire.Fire({"names": names, "run": run, "table": table})
--- a/tests/fleet/planted_faults/play.py
+++ b/tests/fleet/planted_faults/play.py
@@ -30,7 +30,7 @@
 
     def close(self) -> None:
         """Remove the copies."""
-        self._pool.shutdown()
+        self._pool.shutdown(cancel_futures=True)
         for each in self._scratches:
             each.close()
 
--- a/tests/fleet/test_planted_requests.py
+++ b/tests/fleet/test_planted_requests.py
@@ -26,7 +26,7 @@
 from rosechute.data.verdict import CONNECT_FAILED, RESET, SERVER_ERROR, TIMEOUT, Verdict, of_reply
 from rosechute.routing.model import AttemptResult, RejectReason, Send
 
-from .data_site import configuration, event
+from .data_site import configuration, event, route
 
 NOW = 1000.0
 ID = (b"x-rosechute-request-id", b"id-1")
@@ -326,6 +326,26 @@
         self.attempt.resume()
         self.assertEqual(self.wire.done, ["forget", "abort"])
 
+    def test_withdrawn_twice(self) -> None:
+        self.started()
+        self.attempt.abort()
+        self.attempt.abort()
+        self.assertEqual(self.wire.done, ["forget", "abort"])
+
+    def test_a_connection_that_was_given_back_is_left_alone(self) -> None:
+        self.started()
+        self.wire.replied(reply())
+        self.attempt.pause()
+        self.attempt.resume()
+        self.attempt.abort()
+        self.assertEqual(self.wire.done, [], "another request may be on it")
+
+    def test_withdrawn_as_its_answer_begins(self) -> None:
+        self.started()
+        with mock.patch.object(self.owner, "begin", lambda attempt, *_: attempt.abort() or object()):
+            self.wire.begin(reply(), 5)
+        self.assertIs(self.attempt.state, AttemptState.OVER)
+
     def test_nothing_is_to_be_sent_any_more(self) -> None:
         self.owner.data = None
         self.attempt.start()
@@ -1217,8 +1237,10 @@
         self.assertEqual((found.target_s, found.arrived, found.max_attempts), (0.5, NOW, 3))
         self.assertEqual((found.repeatable, found.sticky), (True, True))
         self.assertEqual((found.input_tokens, found.output_tokens), (3, 4))
-        plain = admitted("/plain/1").routing
+        plain = admitted("/plain/1", (b"x-rosechute-deadline-ms", b"20000")).routing
         self.assertEqual((plain.repeatable, plain.sticky, plain.deadline), (False, False, NOW + 4.98))
+        once = admit(Message(), routes=[route("plain", max_attempts=0)]).routing
+        self.assertEqual(once.max_attempts, 1)
 
     def test_the_head_that_servers_get(self) -> None:
         message = Message("/plain/1", (b"connection", b"x-own, keep-alive"), (b"x-own", b"1"), (b"x-kept", b"2"),
@@ -1230,6 +1252,7 @@
             self.assertIn(kept, head)
         for dropped in (b"x-own", b"forged", b"priority: 9", b"expect:", b"x-rosechute-credential", b"connection"):
             self.assertNotIn(dropped, head)
+        self.assertIn(b"content-length: 0\r\n", admit(Message()).head)
         message = Message("/open/1")
         message.method = b"GET"
         message.headers[2] = (message.headers[2][0], b"")
@@ -1297,8 +1320,8 @@
 
     def test_routes_that_are_gone(self) -> None:
         durations = RouteDurations()
-        for route, _ in itertools.product("rs", range(8)):
-            durations.add(route, 1.0)
+        for name, _ in itertools.product("rs", range(8)):
+            durations.add(name, 1.0)
         durations.keep(["r"])
         self.assertEqual((durations.within_s("r", 0.5), durations.within_s("s", 0.5)), (1.0, None))
 
