--- a/tests/fleet/test_planted_requests.py
+++ b/tests/fleet/test_planted_requests.py
@@ -268,6 +268,7 @@
         self.started()
         self.wire.replied(reply())
         self.assertEqual([each.result for each in self.owner.ends], [AttemptResult.DONE])
+        self.assertIs(self.attempt.state, AttemptState.OVER)
         self.assertEqual(len(self.released), 1)
         self.wire.replied(reply())
         self.wire.replied(None)
@@ -581,6 +582,18 @@
         self.assertIsNone(self.send("s2").write())
         self.assertEqual(self.answers, [502])
 
+    def test_a_refusal_of_the_configuration_stands_before_others(self) -> None:
+        self.sent("/again/1").end(RESET)
+        self.admitted.repeatable = False
+        self.context.refused = Refusal(401)
+        self.assertIsNone(self.send("s2").write())
+        self.assertEqual(self.answers, [401])
+
+    def test_the_time_that_is_handed_on(self) -> None:
+        for path, left in (("/plain/1", b"4980"), ("/stream/1", b"19980")):
+            attempt = self.connecting(path, (b"x-rosechute-deadline-ms", b"20000"))
+            self.assertIn(b"x-rosechute-deadline-ms: %s\r\n" % left, attempt.write() or b"")
+
     def test_a_client_that_left_while_it_waited(self) -> None:
         attempt = self.connecting()
         self.context.loop.now += 0.3
@@ -678,6 +691,9 @@
     def test_given_up_by_the_router(self) -> None:
         reason = next(iter(RejectReason))
         self.waiting()
+        self.request.reject(reason, 0.0)
+        self.assertIn(b"retry-after", self.message.connection.answers[0][2])
+        self.waiting()
         self.request.reject(reason, 0.7)
         ((status, _, headers),) = self.message.connection.answers
         self.assertEqual((status, headers[b"retry-after"]), (503, b"0.700"))
@@ -720,6 +736,16 @@
         self.assertIsNone(attempt.begin())
         self.assertIs(self.request.state, S.SENT)
 
+    def test_a_stream_that_has_begun_is_not_given_up_sooner_than_by_its_client(self) -> None:
+        self.passing("/stream/1", (b"x-rosechute-deadline-ms", b"20000"))
+        self.request.pass_on(event(1))
+        self.run_for(4.9)
+        self.assertIsNone(self.message.connection.ended)
+
+    def test_a_second_head_of_the_same_attempt(self) -> None:
+        attempt = self.passing("/resume/1")
+        self.assertIsNone(attempt.begin())
+
     def test_told_once_it_has_begun(self) -> None:
         attempt = self.sent()
         self.context.take()
@@ -803,6 +829,12 @@
         self.request.client_left()
         self.assertEqual(self.context.take(), [])
 
+    def test_an_attempt_that_has_ended_is_left_alone(self) -> None:
+        attempt = self.sent("/again/1")
+        attempt.end(RESET)
+        self.request.client_left()
+        self.assertEqual(attempt.done, ["start"])
+
     def test_a_client_that_leaves_before_the_router_knows_of_it(self) -> None:
         self.request.client_left()
         self.assertEqual(self.context.take(), ["over"])
@@ -1007,6 +1039,23 @@
         self.assertIsNone(self.go_on_whole(b"8"))
         self.assertEqual(self.go_on_whole(b"7"), event(2))
 
+    def test_not_resumable_without_ids(self) -> None:
+        answer, _ = self.answer("/resume/1")
+        source: Any = object()
+        answer.begin(reply(), None, source)
+        answer.pass_on(b"data: a\n\n")
+        self.assertFalse(answer.resumable())
+
+    def test_the_end_of_the_server_that_went_on_counts(self) -> None:
+        answer, _ = self.answer("/resume/1")
+        source: Any = object()
+        answer.begin(reply(), None, source)
+        answer.pass_on(event(1))
+        self.assertTrue(answer.go_on(Reply(200, STAMPED[:2], b"")))
+        answer.pass_on(event(2)[:6])
+        with self.assertRaises(request.BrokenStream):
+            answer.rest()
+
     def go_on_whole(self, version: bytes) -> bytes | None:
         source: Any = object()
         answer, _ = self.answer("/resume/1")
