--- a/benchmarks/fleet_days/points.py
+++ b/benchmarks/fleet_days/points.py
@@ -35,6 +35,9 @@
     Trouble(0.0, "replace_core", "leader planned", x=1.0), Trouble(0.0, "replace_core", "seed", x=1.5),
     Trouble(0.0, "node_kill", "power leader race", for_s=2.0, count=1, on="core"),
     Trouble(0.0, "node_kill", "leader drain hard", for_s=2.0, count=1, on="core"),
+    Trouble(0.0, "node_kill", "power leader", for_s=1.5, count=2, on="core"),
+    Trouble(0.0, "after_ack_kill", "timed", for_s=1.0, count=2), Trouble(0.0, "after_ack_wipe", for_s=0.5, count=2),
+    Trouble(0.0, "node_freeze", "leader race hard", for_s=3.0, count=2, on="core"),
 )
 HERD_LOSSES = (
     Trouble(0.0, "herd_kill", "", for_s=1.0, on="core"), Trouble(0.0, "herd_kill", "power", for_s=1.0, on="core"),
@@ -171,9 +174,15 @@
         yield _at(draw.uniform(45.0, SHORTEST_DAY_S - 10.0), one)
 
 
+def together(draw: random.Random) -> Iterator[Trouble]:
+    """Two of the points in one day."""
+    for point in draw.sample((core_cuts, races, losses, many_changes, requests), 2):
+        yield from point(draw)
+
+
 Point = Callable[[random.Random], Iterator[Trouble]]
 POINTS: dict[str, Point] = {
-    each.__name__: each for each in (core_cuts, races, losses, many_changes, requests, any_kinds)
+    each.__name__: each for each in (core_cuts, races, losses, many_changes, requests, any_kinds, together)
 }
 
 
