--- a/tests/fleet/exploration/invariants.py
+++ b/tests/fleet/exploration/invariants.py
@@ -14,7 +14,7 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING, Any
 
-from rosechute.coordination import Acknowledged, Configuration, NoConfiguration, Order, Outcome, Replica, Stale
+from rosechute.coordination import Acknowledged, Configuration, NoConfiguration, Order, Outcome, Stale
 from rosechute.coordination.memory import Memory, load
 from rosechute.coordination.views import Ballot, ballot_of
 from rosechute.messages.coordination_pb2 import CoreMessage
@@ -112,14 +112,14 @@
     def check(self, machine: Machine) -> None:
         """After every step of a machine."""
         super().check(machine)
-        replica = machine.replica
-        if replica is not None and machine.state.records and not machine.state.queue:
-            self._check_disk(machine, replica)
+        self._check_disk(machine)
 
-    def _check_disk(self, machine: Machine, replica: Replica) -> None:
-        found, known = on_disk(machine.state.records), replica._context.memory
-        if replica._context.disk.failed:
+    def _check_disk(self, machine: Machine) -> None:
+        """A disk with nothing under way gives back what the process knows; also to one that starts."""
+        replica = machine.replica
+        if replica is None or not machine.state.records or machine.state.queue or replica._context.disk.failed:
             return
+        found, known = on_disk(machine.state.records), replica._context.memory
         parts = ("view", "newest", "promised", "accepted", "term", "machine", "newcomer")
         for part in parts:
             if getattr(found, part) != getattr(known, part):
