Exploration: recovery judged by answers of its own path; machines in a module of their own

The answers that operators got were kept from path to path, and recovery asks under the same numbers each time: an answer that came late on one path was taken for that of the next. They are forgotten before a recovery begins.

--- a/tests/fleet/exploration/choices.py
+++ b/tests/fleet/exploration/choices.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from rosechute.coordination import Order
-from tests.fleet.exploration.world import Machine, World
+from tests.fleet.exploration.machine import Machine
+from tests.fleet.exploration.world import World
 
 FAULTS = frozenset({"lose", "crash", "refuse", "hang", "freeze", "cut", "wipe"})
 # All at one moment, and with time that passes:
--- a/tests/fleet/exploration/invariants.py
+++ b/tests/fleet/exploration/invariants.py
@@ -21,7 +21,8 @@
 from tests.fleet.simulation.checkers import History
 
 if TYPE_CHECKING:
-    from tests.fleet.exploration.world import Machine, World
+    from tests.fleet.exploration.machine import Machine
+    from tests.fleet.exploration.world import World
 
 NO_LOOK = float("inf")  # the search asks for unanswered requests itself, when time passes
 
--- a/tests/fleet/exploration/probe.py
+++ b/tests/fleet/exploration/probe.py
@@ -5,7 +5,8 @@
 import hashlib
 
 from rosechute.coordination import Acknowledged, Elsewhere, Order, Outcome
-from tests.fleet.exploration.world import Machine, World
+from tests.fleet.exploration.machine import Machine
+from tests.fleet.exploration.world import World
 from tests.fleet.simulation.checkers import Violation
 
 RECOVERED_WITHIN_S = 4.0
@@ -15,6 +16,7 @@
 
 def recover(world: World) -> float:
     """Heal everything and give an order; the time until it is acknowledged. Raises `Violation`."""
+    world.outcomes.clear()  # of an earlier path
     end_troubles(world)
     began, request = world.now, FIRST_REQUEST
     target = 0
