--- a/tests/fleet/simulation/losses.py
+++ b/tests/fleet/simulation/losses.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
+from rosechute.control.core_machine import FAREWELL_S, HAND_OVER_POLL_S, HAND_OVER_WITHIN_S
 from tests.fleet.simulation.faults import CATCH_UP_S
 from tests.fleet.simulation.machine import Machine
 from tests.fleet.simulation.storage import SYNC_S
 from tests.fleet.simulation.world import World
 
 SPREAD_S = 1.0  # the next loss comes so long after the earliest moment, at the most
-FAREWELL_S = 0.05  # between the resignation of a process and its end
+LEFT_S = HAND_OVER_WITHIN_S + FAREWELL_S  # a process that got SIGTERM has ended by then
 LONG_CUT_S = (20.0, 25.0)
 BACK_S = (0.05, 3.0)
 WRITING_WITHIN_S = 1.0
@@ -117,9 +119,8 @@
 
     def restarted_as_planned(self, machine: Machine) -> float:
         """SIGTERM, and the next process."""
-        self._resign(machine)
-        self._at(FAREWELL_S, machine.kill)
-        return self._at(FAREWELL_S + self.random.uniform(*BACK_S), self._start, machine)
+        self._terminate(machine, machine.kill)
+        return self._at(LEFT_S + self.random.uniform(*BACK_S), self._start, machine)
 
     def gone(self, machine: Machine) -> float:
         """Gone for good, and no other comes. Uses up the tolerance: for the last loss of a day."""
@@ -149,8 +150,8 @@
         """The new machine comes first; then the old one gets SIGTERM, and is taken away."""
         self._add(machine)
         leaves = self.random.uniform(0.0, CATCH_UP_S + SPREAD_S)
-        self._at(leaves, self._resign, machine)
-        return self._at(leaves + FAREWELL_S, self._remove, machine)
+        self._at(leaves, self._terminate, machine, partial(self._remove, machine))
+        return self.world.now + leaves + LEFT_S
 
     def newcomer_is_taken_away(self, machine: Machine) -> float:
         """A machine is added, and then it is the new one that goes for good."""
@@ -186,8 +187,20 @@
         self.world.network.heal(machine)
         machine.reach_again()
 
-    def _resign(self, machine: Machine) -> None:
+    def _terminate(self, machine: Machine, end: Callable[[], None]) -> None:
+        """SIGTERM: the process resigns and waits until nobody counts on it; one in four is killed before."""
         machine.run(lambda replica: replica.resign(machine.now()))
+        if self.random.random() < 0.25:
+            self._at(FAREWELL_S, end)
+        else:
+            self._hand_over(machine, machine.boots, self.world.now + HAND_OVER_WITHIN_S, end)
+
+    def _hand_over(self, machine: Machine, boot: int, until: float, end: Callable[[], None]) -> None:
+        waits = machine.boots == boot and machine.replica is not None and not machine.replica.handed_over
+        if waits and self.world.now < until:
+            self._at(HAND_OVER_POLL_S, self._hand_over, machine, boot, until, end)
+        else:
+            self._at(FAREWELL_S, end)
 
     def _remove(self, machine: Machine) -> None:
         machine.kill()
