--- a/tests/fleet/test_planted_requests.py
+++ b/tests/fleet/test_planted_requests.py
@@ -793,6 +793,13 @@
         FakeAttempt.made[-1].end(Verdict(AttemptResult.DONE, True, reply(200, (b"versions", b"7"), body=event(2))))
         self.assertEqual((self.message.connection.passed, self.message.connection.ended), (event(1) + event(2), True))
 
+    def test_the_rest_in_one_piece_of_other_weights(self) -> None:
+        self.resumable().end(RESET)
+        self.send("s2").write()
+        FakeAttempt.made[-1].end(Verdict(AttemptResult.DONE, True, reply(200, (b"versions", b"8"), body=event(2))))
+        self.assertEqual((self.message.connection.passed, self.message.connection.ended), (event(1), None))
+        self.assertIs(self.request.state, S.WAITING)
+
     def test_another_status_in_place_of_the_rest(self) -> None:
         self.resumable().end(RESET)
         self.send("s2").write()
@@ -810,6 +817,14 @@
         self.request.refuse_unsent()
         self.assertEqual((self.answers, self.message.connection.ended), ([], None), "its answer has begun")
 
+    def test_a_server_that_spoilt_an_answer_is_not_heard_any_more(self) -> None:
+        attempt = self.resumable()
+        self.request.pass_on(event(1))
+        self.context.take()
+        attempt.end(RESET)
+        self.run_for(4.0)
+        self.assertEqual((self.request.state, self.context.take()), (S.WAITING, []))
+
     def test_what_could_not_be_passed_on_has_run(self) -> None:
         self.resumable()
         self.request.pass_on(event(1))
@@ -905,6 +920,13 @@
         self.run_for(5.0)
         self.assertIs(self.message.connection.ended, False, "it brought none")
 
+    def test_an_answer_that_is_no_stream_ends_with_its_route_s_time(self) -> None:
+        self.passing("/plain/1", (b"x-rosechute-deadline-ms", b"20000"))
+        self.run_for(1.0)
+        self.request.pass_on(b"some")
+        self.run_for(4.0)
+        self.assertIs(self.message.connection.ended, False)
+
     def test_timers_end_with_it(self) -> None:
         self.sent("/again/1").end(Verdict(AttemptResult.DONE, True, reply()))
         self.assertEqual(self.context.loop.pending, [])
