--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -329,7 +329,7 @@
         assert attempt is not None
         LOG.warning("streams.broken", server=attempt.server.id, reason=str(error))
         self._drop_attempt()
-        self._last_result, self._may_have_run = AttemptResult.RESET, True
+        self._may_have_run = True
         self._stream_broke(attempt.server, AttemptResult.RESET)
 
     def _leave_unsent(self, server: Server) -> None:
--- a/tests/fleet/test_planted_requests_servers.py
+++ b/tests/fleet/test_planted_requests_servers.py
@@ -146,9 +146,11 @@
 
     def test_no_connection_comes_up(self) -> None:
         self.error = OSError("refused")
-        with self.assertRaises(OSError):
-            self.connect()
-        self.assertEqual((self.server().links, self.servers._open), (0, 0))
+        for lost in (False, True):
+            abort = mock.patch.object(FakeWire, "abort", lambda wire, lost=lost: lost and wire.lost_told(wire))
+            with abort, self.assertRaises(OSError):
+                self.connect()
+            self.assertEqual((self.server().links, self.servers._open), (0, 0), "counted once")
 
     def test_closed_as_soon_as_it_was_up(self) -> None:
         with mock.patch.object(FakeWire, "__init__", lost_at_once), self.assertRaises(ConnectionResetError):
@@ -265,6 +267,13 @@
             self.assertEqual((self.server().idle_s, self.server().links), (kept, 0), (used, rested))
             self.assertIsNone(self.servers.take(self.server()))
 
+    def test_learns_nothing_from_a_server_that_drains(self) -> None:
+        link, server = self.idle(), self.server()
+        server.ready = False
+        self.loop.now += 2.5
+        self.wire(link).lost_told(self.wire(link))
+        self.assertEqual(server.idle_s, IDLE_S)
+
     def test_learns_nothing_from_one_at_work(self) -> None:
         link = self.connect()
         link.used = True
