--- a/tests/fleet/simulation/machine.py
+++ b/tests/fleet/simulation/machine.py
@@ -77,6 +77,8 @@
         self.frozen = False
         self.removed = False
         self.thawed_at = -1.0
+        self.unreachable = False  # for operators
+        self.held_requests: list[Callable[[], None]] = []  # that came while it was so
         self.clock_step = 0.0  # planted: a clock that is not steady
         self.backlog: list[Callable[[], None]] = []
         self.draws = random.Random(world.random.random())
@@ -121,6 +123,7 @@
         )
         replica = self.world.make_replica(config, saved, self.now(), self.draws.random)
         self.runtime = SimulatedRuntime(self, replica, not store.appendable)
+        self.disk.memory = replica._context.memory
         self.world.on_boot(self)
         self.run(lambda replica: replica.start(self.now()))
         self.world.after(self.world.random.uniform(0, TICK_S), self._tick, self.boots)
@@ -159,6 +162,21 @@
             for call in backlog:
                 self._run(call)
 
+    def reach_again(self) -> None:
+        """Operators reach the machine again; what they sent meanwhile arrives, or went with its connections."""
+        self.unreachable = False
+        held, self.held_requests = self.held_requests, []
+        if self.world.random.random() < 0.5:
+            for request in held:
+                request()
+
+    def request(self, request: Callable[[], None]) -> None:
+        """A request of an operator comes, or is held up."""
+        if self.unreachable:
+            self.held_requests.append(request)
+        else:
+            request()
+
     def run(self, call: Callable[[Replica], list[Action]]) -> None:
         """Let the process handle something, now or after its freeze."""
         runtime = self.runtime
