--- a/tests/fleet/test_planted_requests_servers.py
+++ b/tests/fleet/test_planted_requests_servers.py
@@ -238,6 +238,7 @@
         self.loop.run_to(NOW + 1.0)
         second = self.connect()
         self.servers.release(second, None)
+        self.assertEqual(len(self.loop.pending), 1, "one sweep for all")
         self.loop.run_to(NOW + IDLE_S - 0.01)
         self.assertFalse(self.closed(first))
         self.loop.run_to(NOW + IDLE_S + SWEEP_S)
