--- a/tests/fleet/test_planted_requests.py
+++ b/tests/fleet/test_planted_requests.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import unittest
 from collections.abc import Callable
@@ -26,7 +27,7 @@
 from rosechute.data.verdict import CONNECT_FAILED, RESET, SERVER_ERROR, TIMEOUT, Verdict, of_reply
 from rosechute.routing.model import AttemptResult, RejectReason, Send
 
-from .data_site import configuration, event, route
+from .data_site import SiteCase, configuration, event, route
 
 NOW = 1000.0
 ID = (b"x-rosechute-request-id", b"id-1")
@@ -1519,3 +1520,98 @@
         self.assertGreater(shutdown.LOOK_S, 0.0)
 
 
+
+
+class Listener:
+    """Connections of clients, as the end of the process sees them."""
+
+    def __init__(self) -> None:
+        self.connections: list[str] = []
+        self.leaving: list[str] = []
+        self.accepting, self.is_sending, self.is_busy = True, False, False
+        self.closed_at: list[float] = []
+
+    def sending(self) -> bool:
+        return self.is_sending
+
+    def busy(self) -> bool:
+        return self.is_busy
+
+    def close(self) -> None:
+        self.closed_at.append(asyncio.get_running_loop().time())
+
+
+class ShutdownFinishTest(SiteCase):
+    """The end itself, on a clock that moves by itself."""
+
+    def finish(
+        self, listener: Listener, grace_s: float = 8.0, change: Callable[[Any], None] | None = None
+    ) -> tuple[float, Any]:
+        """How long it took, and the front."""
+        front: Any = SimpleNamespace(listener=listener, requests={}, refusing=False, drain=lambda: None)
+        took: list[float] = []
+
+        async def scene() -> None:
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            ending = shutdown.Shutdown(loop, front, RouteDurations(), grace_s)
+            if change is not None:
+                change(front)
+            await ending.finish()
+            took.append(loop.time() - begun)
+            listener.closed_at = [at - begun for at in listener.closed_at]
+
+        self.play(scene)
+        return took[0], front
+
+    def test_nothing_is_open(self) -> None:
+        listener = Listener()
+        took, _ = self.finish(listener)
+        self.assertAlmostEqual(took, 2.52, delta=0.03)
+        self.assertGreaterEqual(listener.closed_at[0], 2.5)
+
+    def test_an_answer_is_being_sent(self) -> None:
+        listener = Listener()
+        listener.is_sending = True
+        took, front = self.finish(listener)
+        self.assertGreater(took, 7.8)
+        self.assertTrue(front.refusing)
+        self.assertAlmostEqual(listener.closed_at[0], 7.3, delta=0.03)
+
+    def test_a_client_that_did_not_read_its_last_answer(self) -> None:
+        listener = Listener()
+        listener.connections = listener.leaving = ["a"]
+        took, _ = self.finish(listener)
+        self.assertAlmostEqual(took, 2.8, delta=0.04)
+        took, _ = self.finish(listener, 2.6)
+        self.assertLess(took, 2.61)
+
+    def test_nobody_is_accepted_any_more(self) -> None:
+        listener = Listener()
+        listener.accepting, listener.connections = False, ["a"]
+        took, _ = self.finish(listener)
+        self.assertLess(took, 2.9)
+        listener.is_busy = True
+        took, _ = self.finish(listener)
+        self.assertGreater(took, 7.8)
+
+    def test_the_listener_is_closed_at_the_end_of_the_time(self) -> None:
+        listener = Listener()
+        listener.connections = ["a"]
+        self.finish(listener)
+        self.assertGreaterEqual(listener.closed_at[-1], 7.85)
+
+    def test_what_is_open_at_the_end_is_ended(self) -> None:
+        ended: list[str] = []
+
+        def opened(front: Any) -> None:
+            one = SimpleNamespace(
+                state=S.SENT, admitted=SimpleNamespace(arrived=NOW), last_moment=lambda: ended.append("ended"),
+                refuse_unsent=lambda: ended.append("asked"),
+            )
+            front.requests["a"] = one
+
+        listener = Listener()
+        listener.connections = ["a"]
+        self.finish(listener, change=opened)
+        self.assertEqual((ended[-1], ended.count("ended")), ("ended", 1))
