--- a/tests/fleet/test_planted_control_quota.py
+++ b/tests/fleet/test_planted_control_quota.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Success
 
 from rosechute.configuration.process import Bounds
-from rosechute.control import operator_api, quota
+from rosechute.control import operator_api, quota, rate_leases
 from rosechute.control.operator_api import OperatorApi
 from rosechute.control.orders import order_digest
 from rosechute.control.quota import LIFETIME_S, QuotaBounds, QuotaIssuer, TenantLimit, Wanted
@@ -355,6 +355,38 @@
         self.assertLessEqual(new.depth, 500.0)
         self.assertGreater(new.report(REACH_S, A, report(900.0)).rate, 300.0)
 
+    def test_what_has_run_out_is_nothing(self) -> None:
+        held = rate_leases._Reckoned(rate=5.0, granted=5.0, depth=7.0, until=1.0)
+        held.expire(1.0)
+        self.assertEqual((held.rate, held.depth), (0.0, 0.0))
+
+    def test_a_report_late_in_its_time_tells_the_late_rate(self) -> None:
+        grant = self.leases.report(0.0, A, report(600.0))
+        self.leases._take(FULL_REACH_S + 0.1, A, report(0.0, grant, REACH_S - FULL_REACH_S - 0.2))
+        self.assertEqual(self.leases.rate, LATE_SHARE * grant.rate)
+        self.leases._take(FULL_REACH_S + 0.2, A, report(0.0, grant, 0.0))
+        self.assertEqual(self.leases.rate, 0.0, "it says that it holds nothing more")
+
+    def test_claims_of_a_holder_that_nobody_knows(self) -> None:
+        self.leases.report(0.0, A, report(0.0, LeaseGrant("t", 300.0, 500.0, 3.0, 0.5, 5.0)))
+        self.assertEqual(self.leases.unknown(False), 900.0, "leases of earlier leaders have run out")
+
+    def test_no_rate_without_a_store(self) -> None:
+        self.leases.report(0.0, A, report(100.0))
+        grant = self.leases.report(0.1, B, report(100.0))
+        self.assertEqual((grant.rate, grant.depth), (0.0, 0.0))
+
+    def test_edges_that_are_silent_do_not_count_for_the_shares(self) -> None:
+        self.leases._take(0.0, A, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 2000.0, 1400.0))
+        self.leases._take(ACTIVE_S, B, LeaseReport("t", 0.0, 0.0, 0.0, 0.0, 100.0, 200.0))
+        self.assertTrue(self.leases._useful(ACTIVE_S))
+        self.assertEqual(self.leases._fair_rate(ACTIVE_S, B, 900.0), 150.0)
+
+    def test_no_word_that_nothing_is_leased_while_something_is(self) -> None:
+        grant = self.leases.report(0.0, A, report(600.0))
+        late = LeaseReport("t", grant.rate, grant.depth, 2.4, 0.0, 0.0, 1500.0)
+        self.assertEqual(self.leases.report(2.5, A, late).bare_s, 0.0)
+
     def test_idle_edges_are_forgotten(self) -> None:
         self.leases.report(0.0, A, report(0.0))
         self.assertEqual(self.leases.active(ACTIVE_S - 0.01), 1)
