--- a/tests/fleet/test_planted_control_machine.py
+++ b/tests/fleet/test_planted_control_machine.py
@@ -28,6 +28,7 @@
 from rosechute.coordination.types import CommittedConfiguration, Identity
 from rosechute.distribution.publisher import PublisherState
 from rosechute.messages import distribution_pb2 as pb
+from rosechute.messages.coordination_pb2 import CoreMessage
 from rosechute.messages.framing import Kind
 from rosechute.messages.link import LinkPool
 
@@ -233,6 +234,18 @@
 
         self.play(scene)
 
+    def test_messages_of_core_machines_reach_the_replica_once_there_is_one(self) -> None:
+        async def scene() -> None:
+            machine: Any = CoreMachine(self.settings)
+            received: list[CoreMessage] = []
+            message = CoreMessage(boot=3)
+            machine._received(None, Kind.COORDINATION, message.SerializeToString())
+            machine._runtime = SimpleNamespace(receive=received.append)
+            machine._received(None, Kind.COORDINATION, message.SerializeToString())
+            self.assertEqual(received, [message])
+
+        self.play(scene)
+
     def test_messages_over_links(self) -> None:
         async def scene() -> None:
             machine = await self.lead()
