The proposer's direct test holds that rounds go on over epochs

It asked for rounds that begin anew in each epoch, which is the latent fault that the exploration found: two proposals of one process under one ballot.

--- a/tests/fleet/test_planted_coordination_views.py
+++ b/tests/fleet/test_planted_coordination_views.py
@@ -430,7 +430,7 @@
         self.begin()
         self.proposer.stop()
         self.assertEqual(self.proposer.phase, Phase.IDLE)
-        self.assertEqual(self.begin().round, 1, "rounds belong to an epoch")
+        self.assertEqual(self.begin().round, 2, "no ballot of a process names two proposals, in whatever epoch")
 
 
 class Member:
