--- a/tests/fleet/simulation/membership.py
+++ b/tests/fleet/simulation/membership.py
@@ -73,6 +73,8 @@
             if self.random.random() < 0.4:
                 self._planned()
                 self._acknowledged()
+        if self.random.random() < 0.5:
+            self._final_fault()
         world.run_for(CATCH_UP_S)
         finish(world, self.history, self.operators)
 
@@ -123,6 +125,24 @@
         self._leave(old)
         old.removed = True
 
+    def _final_fault(self) -> None:
+        """Right after an acknowledgement as many disks as are borne are lost, and all others lose power."""
+        if self.random.random() < 0.3:  # one machine more than is aimed at
+            self._add("")
+            self.world.run_for(CATCH_UP_S)
+        before = self.history.acknowledgements
+        self.world.run_while(lambda: self.history.acknowledgements == before, 3.0)
+        self.done.append(f"{self.world.now:.2f} final fault")
+        there = self._there()
+        wiped = self.random.sample(there, self.tolerance)
+        for machine in there:
+            if machine in wiped:
+                machine.wipe()
+            else:
+                machine.power_loss()
+            self._later(machine.start)
+        self.world.run_until(self.back_at)
+
     def _leave(self, machine: Machine) -> None:
         """SIGTERM: the process ends once it has handed over."""
         machine.run(lambda replica: replica.resign(machine.now()))
--- a/tests/fleet/test_coordination_schedules.py
+++ b/tests/fleet/test_coordination_schedules.py
@@ -18,7 +18,10 @@
 
 
 def deposed_head_refuses(cluster: Cluster) -> list[object]:
-    """The head is cut off and deposed; an order on a version that it never saw reaches it, then the others."""
+    """The head is cut off and deposed; an order on a version that it never saw reaches it, then the others.
+
+    So does one that is stale for good: even that it may not refuse while it is cut off.
+    """
     cluster.settle()
     head = cluster.role("head")
     cluster.world.network.cut_off(head)
@@ -29,10 +32,11 @@
     cluster.settle()
     order = cluster.make()
     at_old = cluster.submit(head, order)
+    stale = cluster.submit(head, cluster.make(0, 1))
     cluster.run(1.2)
     at_new = cluster.submit(new_head, order)
     cluster.run(1.0)
-    return [*at_old, *at_new]
+    return [*at_old, *at_new, *stale]
 
 
 def deposed_tail_reads(cluster: Cluster) -> list[object]:
@@ -583,6 +587,7 @@
             outcomes = deposed_head_refuses(Cluster(size))
             self.assertIsInstance(outcomes[0], Unsure | Elsewhere)
             self.assertIsInstance(outcomes[1], Acknowledged)
+            self.assertIsInstance(outcomes[2], Unsure | Elsewhere)
 
     def test_deposed_tail_does_not_answer_reads(self) -> None:
         for size in (3, 4):
