Let the end of a server's connection run to its end where the client has reset in the same turn

On asyncio's own loop write_eof raises OSError on a connection that the peer has reset, until the reset is read. The order that does harm: a stream's server breaks off and its client resets, both unread; the server's connection_lost cuts the client's answer, that raises, and Connection.connection_lost never reaches the part that counts the connection as closed. The server's connections stay counted: its share shrinks for the life of the process. Where a request was answered, not cut, the exception was only logged (requests.broken).

Now the end of a client's answer suppresses OSError: what it was to do, the client's reset has done. test_the_servers_end_and_the_clients_reset_in_one_turn fails without it (1 link left).

--- a/rosechute/data/client_answer.py
+++ b/rosechute/data/client_answer.py
@@ -1,8 +1,14 @@
 """The one answer that a client's request gets: an own status, a server's whole answer, or one that is passed on as it
-comes. An event stream that may be resumed is joined from the answers of several servers."""
+comes. An event stream that may be resumed is joined from the answers of several servers.
+
+A client that has reset its connection, unread so far, may make the end of its answer fail (asyncio's own loop raises
+OSError where it shuts the connection down). That is no fault of the request, and its connection ends by itself.
+"""
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 from hollyport.core.flow import Source
 from hollyport.http1.connection import Reply
 from hollyport.http1.message import HOP_BY_HOP, Headers, Message
@@ -33,11 +39,13 @@
         headers: Headers = [(REQUEST_ID, self._admitted.request_id)]
         if retry_after_s > 0.0:
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
-        self._message.reply(status, b"", headers)
+        with suppress(OSError):
+            self._message.reply(status, b"", headers)
 
     def send_whole(self, reply: Reply) -> None:
         """Answer with a server's whole answer, as it is."""
-        self._message.reply(reply.status, reply.body, returned_headers(reply))
+        with suppress(OSError):
+            self._message.reply(reply.status, reply.body, returned_headers(reply))
 
     # --- answers that are passed on as they come
 
@@ -79,11 +87,13 @@
         """The answer is whole with these bytes."""
         if rest:
             self._message.connection.pass_on(self._message, rest)
-        self._message.connection.end_answer(self._message, True)
+        with suppress(OSError):
+            self._message.connection.end_answer(self._message, True)
 
     def cut(self) -> None:
         """The answer that has begun can't be finished: the client sees it break off."""
-        self._message.connection.end_answer(self._message, False)
+        with suppress(OSError):
+            self._message.connection.end_answer(self._message, False)
 
     # --- going on at another server
 
--- a/tests/fleet/test_data_races.py
+++ b/tests/fleet/test_data_races.py
@@ -57,6 +57,27 @@
                     site.close()
         self.play(scene)
 
+    def test_the_servers_end_and_the_clients_reset_in_one_turn(self) -> None:
+        """Found: to end the client's answer failed, and with it the end of the server's connection, which counted as
+        open for good."""
+        async def scene() -> None:
+            problems: list[object] = []
+            for path in ("/stream/1", "/resume/1"):
+                site = await Site().start(s1=streaming(50))
+                site.loop.set_exception_handler(lambda _, context: problems.append(context))
+                client = await site.client()
+                client.send(path)
+                await client.head()
+                await client.piece()
+                request, = site.plane.front.requests.values()
+                client.reset()
+                request._attempt._link.wire.abort()  # type: ignore[union-attr]  # before the reset is read
+                await asyncio.sleep(0.1)
+                self.assertEqual(site.plane.servers.find("s1").links, 0)  # type: ignore[union-attr]
+                self.assertEqual((problems, len(site.plane.front.requests)), ([], 0))
+                site.close()
+        self.play(scene)
+
     def test_an_answer_and_the_drain_of_its_server_in_one_turn(self) -> None:
         async def scene() -> None:
             site = await Site().start(s1=plain)
