--- a/tests/fleet/test_planted_coordination_records.py
+++ b/tests/fleet/test_planted_coordination_records.py
@@ -115,6 +115,7 @@
         memory.written = None
         memory.newcomer = False
         for record in (
+            pb.Record(machine=pb.MachineRecord(machine=machine("a"), newcomer=True)),
             pb.Record(promise=pb.PromiseRecord(epoch=EPOCH, ballot=ballot(8).message())),
             pb.Record(promise=pb.PromiseRecord(epoch=EPOCH - 1, ballot=ballot(12).message())),
             pb.Record(promise=pb.PromiseRecord(epoch=EPOCH + 1, ballot=ballot(12).message())),
