--- a/tests/fleet/test_planted_control_quota.py
+++ b/tests/fleet/test_planted_control_quota.py
@@ -172,8 +172,9 @@
         self.assertEqual(self.issue(0.36, 10, edge="small").tokens, 10)
 
     def test_a_kept_demand_ends(self) -> None:
-        self.issue(0.1, 900, edge="large")
-        self.assertEqual(self.issue(0.61, 10, edge="small").tokens, 10)
+        self.issue(0.1, 400, edge="large")
+        self.assertEqual(len(self.bucket(0.59).demands), 1)
+        self.assertEqual(self.bucket(0.61).demands, {})
 
     def test_a_demand_beyond_the_capacity_is_not_kept(self) -> None:
         self.issue(0.1, 10**6, edge="large")
