--- a/rosechute/processes/settings_watch.py
+++ b/rosechute/processes/settings_watch.py
@@ -32,7 +32,7 @@
         self.settings = settings
         self._path = path
         self._apply = apply
-        self._read = version_of(path)
+        self._read: FileVersion | None = None  # the settings may be older than the file is now
 
     def reload(self) -> None:
         """Read the file now; one that can't be used changes nothing."""
--- a/tests/fleet/test_processes_settings_watch.py
+++ b/tests/fleet/test_processes_settings_watch.py
@@ -54,6 +54,13 @@
         self.assertEqual([each.zone for each in self.applied], ["b"])
         self.assertEqual(self.watch.settings.zone, "b")
 
+    def test_a_change_between_loading_and_watching_is_read(self) -> None:
+        settings = load(self.path).unwrap()
+        self.write(zone="b")
+        watch = SettingsWatch(settings, self.path, self.applied.append)
+        watch.reload_if_changed()
+        self.assertEqual([each.zone for each in self.applied], ["b"])
+
     def test_a_signal_reads_it_again_and_the_same_settings_change_nothing(self) -> None:
         self.watch.reload()
         self.write(zone="a")
