Planted faults of the control side and of the zone's questions: found, or excused

What could have gone wrong unnoticed, among others: an edge that asks itself who leads, or names a leader that does not answer it any more; edges of the zone asked at every probe, or never in turn; a message after a freeze answered as by the leader; a demand that is kept for ever by repeating it, or dropped once a part of it was met; a bucket that leaks or shrinks below its least capacity where a limit is lowered below what is leased; a reader that spins after a lost lease; an operator's call whose slow body left no time for the outcome; links and the list's connection left open at the end.

A check that the records' thread has ended is now direct: the count of threads allowed for one more.

No fault of the product came to light.

--- a/tests/fleet/test_control_list_reader.py
+++ b/tests/fleet/test_control_list_reader.py
@@ -134,6 +134,31 @@
         platform.call_s = 0.1
         self.assertAlmostEqual(await self.reader(platform).step(), INTERVAL_S - 0.2)
 
+    async def test_a_reading_that_took_longer_than_the_interval_is_followed_at_once(self) -> None:
+        platform = FakePlatform()
+        platform.call_s = 2 * INTERVAL_S
+        self.assertEqual(await self.reader(platform).step(), 0.0)
+
+    async def test_a_platform_that_tells_no_rate_is_asked_seldom(self) -> None:
+        wait = await self.reader(FakePlatform(), 0.0).step()
+        self.assertAlmostEqual(wait, 1 / list_reader.SLOWEST_RATE_PER_S)
+
+    async def test_it_waits_for_each_lease_anew(self) -> None:
+        """After a lease that was lost it does not look again and again for the next one."""
+        platform = FakePlatform()
+        platform.lease_ends_after_calls = 1
+        reader = self.reader(platform)
+        task = asyncio.create_task(reader.run())
+        reader.lease_gained()
+        with mock.patch.multiple(list_reader, INTERVAL_S=0.0, RATE_SHARE=1e9):
+            while platform.calls < 1:
+                await asyncio.sleep(0)
+            with mock.patch.object(reader, "_held_term", wraps=platform.held_term) as looked:
+                for _ in range(50):
+                    await asyncio.sleep(0)
+        self.assertLessEqual(looked.call_count, 2)
+        task.cancel()
+
     async def test_the_rest_of_a_cold_start_is_kept_as_a_time(self) -> None:
         platform = FakePlatform()
         await self.reader(platform).step()
@@ -149,6 +174,9 @@
         listed = page.instances[0].listed(5.0)
         self.assertEqual(listed, ListedServer("i-7", "s", "10.128.0.9:8080", "z", 64, False, 5.0))
 
+    def test_a_rest_of_a_cold_start_below_zero_is_none(self) -> None:
+        self.assertEqual(Instance("i", "s", "10.0.0.1:1", cold_remaining_ms=-700).listed(5.0).cold_until, 5.0)
+
     def test_what_is_no_page(self) -> None:
         for data in (b"", b"{", b"[]", b'{"instances": [{}]}', b'{"instances": 3}', b"\xff"):
             self.assertEqual(read_page(data, "10.0.0.1:1").failure().peer, "10.0.0.1:1")
--- a/tests/fleet/test_planted_control_machine.py
+++ b/tests/fleet/test_planted_control_machine.py
@@ -18,6 +18,7 @@
 import aiohttp
 from aiohttp import web
 from loguru import logger
+from msgspec import structs
 
 from rosechute.configuration.process import CloudApi, Listen, ProcessSettings
 from rosechute.control import core_machine, list_client
@@ -25,12 +26,13 @@
 from rosechute.control.core_report import CoreReport, core_report
 from rosechute.control.list_client import ListClient
 from rosechute.control.operator_api import BASE_VERSION_HEADER
-from rosechute.coordination.types import CommittedConfiguration, Identity
-from rosechute.distribution.publisher import PublisherState
+from rosechute.coordination.types import CommittedConfiguration, Identity, ReplicaConfig, Unsure
+from rosechute.distribution.actions import Dialed, Send
+from rosechute.distribution.publisher import CoreAddress, PublisherState
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.messages.coordination_pb2 import CoreMessage
 from rosechute.messages.framing import Kind
-from rosechute.messages.link import LinkPool
+from rosechute.messages.link import LinkConnection, LinkPool, LinkServer
 
 from .data_site import SiteCase
 
@@ -80,6 +82,7 @@
             data_dir=folder.name,
         )
         self.lists = 0
+        self.list_transport: Any = None
 
     async def start(self) -> CoreMachine:
         machine = CoreMachine(self.settings)
@@ -111,6 +114,7 @@
 
         async def instances(request: web.Request) -> web.Response:
             self.lists += 1
+            self.list_transport = request.transport
             entry = {"id": "i-1", "service": "svc", "address": "10.0.1.1:1", "zone": "z", "slots": 8}
             return web.json_response({"instances": [entry]})
 
@@ -177,6 +181,7 @@
             await machine.stop()
             self.assertIsNot(machine._publisher.state, PublisherState.LEADER)
             writer._thread.join(20.0)
+            self.assertFalse(writer._thread.is_alive())
             self.assertLessEqual(threading.active_count(), before + 1)
             for address in (self.settings.listen.control, self.settings.core_link_address):
                 host, _, port = address.rpartition(":")
@@ -190,6 +195,26 @@
 
         self.play(scene)
 
+    def test_it_leaves_no_connection_open(self) -> None:
+        async def scene() -> None:
+            runner = await self.platform()
+            machine = await self.lead()
+            await until(lambda: self.lists)
+            received, closed = [], []  # type: ignore[var-annotated]
+            (port,) = free_ports(1)
+            other = LinkServer(f"127.0.0.1:{port}", lambda *message: received.append(message), closed.append)
+            await other.start()
+            machine._send_core(f"127.0.0.1:{port}", CoreMessage(boot=3))
+            await until(lambda: received)
+            self.assertFalse(self.list_transport.is_closing())
+            await machine.stop()
+            await until(lambda: closed)
+            await until(self.list_transport.is_closing)
+            other.close()
+            await runner.cleanup()
+
+        self.play(scene)
+
     def test_it_ends_before_its_records_are_loaded(self) -> None:
         async def scene() -> None:
             machine = CoreMachine(self.settings)
@@ -295,6 +320,189 @@
         self.assertEqual((found.config_sequence, found.config_version), (0, 0))
 
 
+SETTINGS = ProcessSettings(
+    node_name="core-a",
+    ip="10.0.0.1",
+    zone="z",
+    port_range=(7500, 7500),
+    listen=Listen(control=OWN.control_address),
+    seeds=("10.0.0.1:8367", "10.0.0.2:8367"),
+    bootstrap=True,
+    cloud_api=CloudApi(address="10.0.0.9:80", rate_per_s=50.0),
+)
+SEEDS = (("10.0.0.1:8367", "10.0.0.1:7500"), ("10.0.0.2:8367", "10.0.0.2:7500"))
+
+
+class MachineParts(SiteCase):
+    """What ties the parts of a machine together, with parts that keep what they are told."""
+
+    def setUp(self) -> None:
+        self.machine: Any = CoreMachine(SETTINGS)
+        self.machine._clock = lambda: 9.0
+        self.publisher = self.machine._publisher = mock.Mock(state=PublisherState.LEADER, term=5)
+        for call in ("receive", "committed", "lease_gained", "lease_lost", "servers", "tick"):
+            getattr(self.publisher, call).return_value = []
+        self.replica = self.machine_replica()
+
+    def machine_replica(self) -> Any:
+        return SimpleNamespace(
+            identity=OWN, is_leader=lambda now: now == 9.0, freshness=lambda now: (3, 0.25),
+            leader_hint=lambda: OTHER, core_machines=lambda: [OWN, OTHER], update_seeds=mock.Mock(),
+        )
+
+    def load(self) -> None:
+        """The records are loaded."""
+        self.machine._runtime = SimpleNamespace(replica=self.replica, tick=mock.Mock(), receive=mock.Mock())
+
+    def test_settings_of_the_replica(self) -> None:
+        wanted = ReplicaConfig("core-a", "z", OWN.control_address, OWN.peer_address, True, SEEDS)
+        self.assertEqual(core_machine._replica_config(SETTINGS), wanted)
+
+    def test_other_settings(self) -> None:
+        other = structs.replace(SETTINGS, cloud_api=CloudApi(address="10.0.0.8:80", rate_per_s=7.0))
+        self.machine.change_settings(other)
+        self.assertEqual((self.machine._list_rate(), self.machine._list_client.address), (7.0, "10.0.0.8:80"))
+        self.load()
+        self.machine.change_settings(SETTINGS)
+        self.replica.update_seeds.assert_called_once_with(SEEDS)
+
+    def test_nothing_is_reported_or_answered_before_the_records_are_loaded(self) -> None:
+        async def scene() -> None:
+            self.assertIsInstance(await self.machine.read(), Unsure)
+            self.assertIsInstance(await self.machine.submit(0, 1, b"", b""), Unsure)
+            self.assertIsNone(self.machine._held_term())
+            self.machine._writer = mock.Mock()
+            self.assertIsNone(self.machine.report())
+            self.load()
+            self.machine._writer = None
+            self.assertIsNone(self.machine.report())
+
+        self.play(scene)
+
+    def test_how_long_the_oldest_record_waits_is_reported(self) -> None:
+        self.load()
+        self.machine._runtime.replica = ReportTest.replica(ReportTest())
+        self.publisher.edges_total.return_value = 12
+        for oldest, told in ((8.875, 125), (None, 0)):
+            self.machine._writer = mock.Mock()
+            self.machine._writer.oldest_pending.return_value = oldest
+            self.assertEqual(self.machine.report().write_age_ms, told)
+
+    def test_the_term_is_held_while_the_lease_is(self) -> None:
+        self.load()
+        self.assertEqual(self.machine._held_term(), 5)
+        self.machine._clock = lambda: 9.5
+        self.assertIsNone(self.machine._held_term())
+
+    def test_the_end_of_a_lease_is_told_by_a_leader_only(self) -> None:
+        self.machine.lease_lost()
+        self.publisher.lease_lost.assert_called_once_with(9.0)
+        self.publisher.state = PublisherState.FOLLOWER
+        self.machine.lease_lost()
+        self.publisher.lease_lost.assert_called_once_with(9.0)
+
+    def test_a_message_after_a_freeze_finds_the_lease_ended(self) -> None:
+        """The message is handled before the replica's next tick: the answer is none of a leader."""
+        self.load()
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        self.publisher.lease_lost.assert_not_called()
+        self.machine._clock = lambda: 9.5
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        names = [name for name, _, _ in self.publisher.method_calls]
+        self.assertLess(names.index("lease_lost"), len(names) - 1 - names[::-1].index("receive"))
+
+    def test_what_the_replica_knows_is_told_before_each_message_of_an_edge(self) -> None:
+        self.load()
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        core = tuple(CoreAddress(one.id, one.peer_address, one.control_address) for one in (OWN, OTHER))
+        self.assertEqual(self.publisher.method_calls, [
+            mock.call.freshness(9.0, 3, 0.25), mock.call.redirect(OTHER.peer_address), mock.call.core(core),
+            mock.call.receive(9.0, "c", pb.Distribution()),
+        ])
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        self.publisher.core.assert_called_once_with(core)
+        self.replica.core_machines = lambda: [OWN]
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        self.assertEqual(self.publisher.core.call_args, mock.call(core[:1]))
+
+    def test_what_the_replica_does_not_know(self) -> None:
+        self.load()
+        self.replica.freshness = lambda now: None
+        for leader in (None, OWN):
+            self.replica.leader_hint = lambda leader=leader: leader
+            self.machine._inform_publisher(9.0, self.replica)
+            self.assertEqual(self.publisher.redirect.call_args, mock.call(None))
+        self.publisher.freshness.assert_not_called()
+
+    def test_messages_go_to_the_part_of_their_kind(self) -> None:
+        self.machine._received("c", Kind.COORDINATION, CoreMessage(boot=3).SerializeToString())
+        self.machine._received("c", Kind.DISTRIBUTION, b"")
+        self.assertEqual(self.publisher.method_calls, [mock.call.receive(9.0, "c", pb.Distribution())])
+        self.load()
+        self.machine._received("c", Kind.COORDINATION, CoreMessage(boot=3).SerializeToString())
+        self.machine._runtime.receive.assert_called_once_with(CoreMessage(boot=3))
+        self.assertEqual(self.publisher.receive.call_count, 1)
+
+    def test_answers_go_back_on_their_connection(self) -> None:
+        connection = mock.Mock(spec=LinkConnection)
+        self.machine._pool = mock.Mock()
+        message = pb.Distribution(renewed=pb.Renewed(request=4))
+        self.machine._send_all([Send(connection, message)])
+        connection.send.assert_called_once_with(Kind.DISTRIBUTION, message.SerializeToString())
+        self.machine._pool.send.assert_not_called()
+        self.machine._send_all([Send(Dialed("10.0.0.2:7501"), message)])
+        self.machine._pool.send.assert_called_once_with(
+            "10.0.0.2:7501", Kind.DISTRIBUTION, message.SerializeToString()
+        )
+
+    def test_it_ticks_on_after_a_tick_that_failed(self) -> None:
+        async def scene() -> None:
+            self.load()
+            self.machine._clock = asyncio.get_running_loop().time
+            self.machine._runtime.tick.side_effect = [ValueError("a fault of the program"), None, None, None]
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda *_: None)
+            loop.call_soon(self.machine._tick, self.machine._runtime, loop.time())
+            await asyncio.sleep(2.5 * core_machine.TICK_S)
+            self.assertEqual(self.machine._runtime.tick.call_count, 3)
+            self.machine._next_tick.cancel()
+
+        self.play(scene)
+
+    def hand_over_s(self, handed_over_after_s: float) -> float:
+        """How long the end takes where the others go on without this machine after so long."""
+        took: list[float] = []
+
+        async def scene() -> None:
+            loop = asyncio.get_running_loop()
+            self.machine._clock = loop.time
+            began = loop.time()
+
+            class Replica:
+                @property
+                def handed_over(self) -> bool:
+                    return loop.time() - began >= handed_over_after_s
+
+            runtime = SimpleNamespace(replica=Replica(), resign=mock.Mock())
+            await self.machine._hand_over(runtime)
+            runtime.resign.assert_called_once_with()
+            took.append(loop.time() - began)
+
+        self.play(scene)
+        return took[0]
+
+    def test_it_serves_on_until_it_has_handed_over(self) -> None:
+        self.assertTrue(0.3 <= self.hand_over_s(0.3) < 0.5)
+
+    def test_it_ends_where_nobody_can_go_on_without_it(self) -> None:
+        within = core_machine.HAND_OVER_WITHIN_S
+        self.assertTrue(within <= self.hand_over_s(60.0) < within + 0.2)
+
+    def test_its_last_messages_have_time_to_leave(self) -> None:
+        """What `resign` tells the others is sent by the loop: links that were closed at once would drop it."""
+        self.assertTrue(0.02 <= self.hand_over_s(0.0) < 0.2)
+
+
 class ListClientTest(SiteCase):
     """Calls of the platform's list over loopback."""
 
@@ -331,6 +539,25 @@
 
         self.play(scene)
 
+    def test_one_connection_that_is_kept_and_closed(self) -> None:
+        async def scene() -> None:
+            transports: list[Any] = []
+
+            async def instances(request: web.Request) -> web.Response:
+                transports.append(request.transport)
+                return web.json_response({"instances": []})
+
+            runner, client = await self.serve(instances)
+            await client.fetch(None)
+            connector: Any = client._opened().connector
+            self.assertEqual((connector.limit, connector._keepalive_timeout), (1, list_client.KEEP_OPEN_S))
+            self.assertFalse(transports[0].is_closing())
+            await client.close()
+            await until(transports[0].is_closing)
+            await runner.cleanup()
+
+        self.play(scene)
+
     def test_another_status_is_a_failure(self) -> None:
         async def scene() -> None:
             async def instances(request: web.Request) -> web.Response:
--- a/tests/fleet/test_planted_control_quota.py
+++ b/tests/fleet/test_planted_control_quota.py
@@ -40,6 +40,8 @@
 from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport
 from rosechute.storage.problems import StorageProblem
 
+from .data_site import VirtualLoop
+
 A, B = Holder("a", 1), Holder("b", 1)
 TOTALS = LeaseTotals(900.0, 3000.0)
 
@@ -211,8 +213,80 @@
         self.configure(0.0, TenantLimit(1000.0, 1000.0, slack_counts=False))
         self.assertLess(self.bucket(0.0).reserve, counted - 1000.0)
 
+    def test_a_demand_that_is_repeated_is_kept_no_longer(self) -> None:
+        self.issue(0.1, 450, edge="large")
+        self.assertEqual(self.issue(0.4, 450, edge="large").tokens, 0)
+        self.assertEqual(len(self.bucket(0.59).demands), 1)
+        self.assertEqual(self.bucket(0.61).demands, {})
+
+    def test_a_demand_that_was_met_in_part_stays_kept(self) -> None:
+        self.assertEqual(self.issue(0.1, 300, edge="large").tokens, 0)
+        self.assertEqual(self.issue(0.2, 10, edge="large").tokens, 10)
+        self.assertEqual(self.issue(0.25, 10, edge="small").tokens, 0)
+
+    def test_at_least_one_token_or_none(self) -> None:
+        """Where an edge could use any number, and its even part is less than one."""
+        bucket = self.bucket(0.003)
+        bucket.asked = dict.fromkeys("abcd", 1.0)
+        self.assertAlmostEqual(bucket.level, 3.0)
+        self.assertEqual(self.issuer.issue(0.003, "e", [Wanted("t", 10, 0)])[0].tokens, 1)
+
+    def test_when_to_ask_again_for_a_single_token(self) -> None:
+        self.configure(0.0, TenantLimit(2.0, 10.0))
+        issued = self.issuer.issue(0.0, "e", [Wanted("t", 10, 0)])[0]
+        self.assertEqual((issued.tokens, 400 <= issued.retry_after_ms <= 500), (0, True))
+
+    def limited(self, overshoot: float, rate: float, burst: float) -> Any:
+        """A bucket of some bounds and limit."""
+        self.issuer.change_bounds(0.0, QuotaBounds(8.0, overshoot, 0.0))
+        limit = TenantLimit(rate, burst)
+        self.configure(0.0, limit)
+        return self.issuer._bucket(0.0, "t", limit)
+
+    def test_the_outstanding_tokens_take_their_share_of_what_is_kept(self) -> None:
+        bucket = self.limited(1.0, 100.0, 100.0)
+        self.assertAlmostEqual(bucket.most_outstanding, 0.35 * 0.9 * 900.0)
+
+    def test_the_reserve_leaves_room_for_tokens_of_the_leader_before(self) -> None:
+        bucket = self.limited(0.5, 1000.0, 100.0)
+        beside = LIFETIME_S * 1000.0 - 100.0
+        total = 100.0 + 0.9 * 0.5 * 8100.0
+        self.assertAlmostEqual(bucket.reserve, total - bucket.most_outstanding - bucket.least_capacity - beside)
+
+    def test_no_reserve_where_there_is_no_room(self) -> None:
+        bucket = self.limited(0.1, 1000.0, 100.0)
+        self.assertEqual(bucket.reserve, 0.0)
+        self.assertEqual(bucket.leases._totals.depth, 0.0)
+
+    def test_lifetimes_follow_from_the_bound_on_outstanding_tokens(self) -> None:
+        bucket = self.limited(0.1, 1000.0, 100.0)
+        self.assertAlmostEqual(bucket.lifetime_s, bucket.most_outstanding / 1250.0)
+        self.assertTrue(quota.SHORTEST_LIFETIME_S < bucket.lifetime_s < LIFETIME_S)
+        self.assertEqual(self.limited(0.01, 1000.0, 10.0).lifetime_s, quota.SHORTEST_LIFETIME_S)
+
     # Leases beside the bucket
 
+    def test_a_limit_lowered_below_what_is_leased(self) -> None:
+        """Until the leases have run out the bucket stands still: it neither leaks nor shrinks below its least."""
+        (grant,) = self.issuer.renew(0.0, A, 1, [report(2000.0)])
+        low = TenantLimit(100.0, 100.0)
+        self.configure(0.0, low)
+        bucket = self.issuer._bucket(0.0, "t", low)
+        self.assertGreater(grant.rate, 100.0)
+        self.assertGreater(bucket.leases.depth, bucket.reserve)
+        self.assertEqual((bucket.fill_rate(), bucket.capacity), (0.0, bucket.least_capacity))
+        bucket.level = 40.0
+        bucket.advance(1.0)
+        self.assertEqual(bucket.level, 40.0)
+
+    def test_deposits_are_shared_among_the_edges_that_report(self) -> None:
+        for holder in (A, B):
+            self.issuer.renew(10.0, holder, 1, [report(2000.0, stored=1e6)])
+        bucket = self.bucket(10.0)
+        spare = min(bucket.level - quota.DEPOSIT_FROM * bucket.capacity, bucket.most_outstanding / 2.0)
+        self.assertGreater(spare, 100.0)
+        self.assertEqual(quota._deposit(bucket, 10.0, 1e6), int(spare / 2))
+
     def test_the_bucket_fills_with_what_is_not_leased(self) -> None:
         (grant,) = self.issuer.renew(0.0, A, 1, [report(2000.0)])
         self.assertGreater(grant.rate, 500.0)
@@ -275,6 +349,15 @@
         self.assertAlmostEqual(bucket.fill_rate(), 1000.0, delta=0.5)
         self.assertGreater(bucket.capacity, bucket.least_capacity)
 
+    def test_leases_that_were_reported_are_left_out_of_the_rate(self) -> None:
+        """What one holder reports is known: the rate that may be leased besides is less by as much."""
+        self.lead(0.0, 3.0, 5.0)
+        self.bucket(0.0)
+        before = self.bucket(0.0).fill_rate()
+        held = LeaseGrant("t", 300.0, 100.0, 3.0, 0.5, 5.0)
+        self.issuer.renew(0.0, A, 1, [report(0.0, held)])
+        self.assertAlmostEqual(self.bucket(0.0).fill_rate(), before)
+
     def test_no_deposit_until_the_leases_are_known(self) -> None:
         self.lead(0.0, 3.0, 5.0)
         held = LeaseGrant("t", 100.0, 500.0, 3.0, 0.5, 5.0)
@@ -563,6 +646,30 @@
         self.assertEqual((answer.status, answer.body, answer.content_type), (200, b"{ }", "application/json"))
         self.assertEqual(self.read(core.NoConfiguration()).status, 404)
 
+    def seconds_until_an_answer(self, body_s: float) -> float:
+        """How long a call takes whose body comes slowly and whose outcome never does."""
+        async def call() -> float:
+            request = make_mocked_request("POST", "/config/replace", headers={operator_api.BASE_VERSION_HEADER: "6"})
+
+            async def read() -> bytes:
+                await asyncio.sleep(body_s)
+                return self.BODY
+
+            request.read = read  # type: ignore[method-assign]
+            began = asyncio.get_running_loop().time()
+            answer = await OperatorApi(StoppedChain(None), "10.0.0.1:8367").replace(request)
+            self.assertEqual(answer.status, 503)
+            return asyncio.get_running_loop().time() - began
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(call())
+
+    def test_the_answer_comes_in_time_and_leaves_time_for_the_outcome(self) -> None:
+        self.assertAlmostEqual(self.seconds_until_an_answer(0.0), operator_api.ANSWER_WITHIN_S, delta=0.01)
+        self.assertAlmostEqual(self.seconds_until_an_answer(0.2), operator_api.ANSWER_WITHIN_S, delta=0.01)
+        late = self.seconds_until_an_answer(0.8)
+        self.assertAlmostEqual(late, 0.8 + operator_api.SHORTEST_WAIT_S, delta=0.01)
+
     def test_base_versions(self) -> None:
         for text in (None, "", "x", "-1", "1.5", "\u0661", str(2**63)):
             self.assertEqual(self.replace(core.Acknowledged(7), text).status, 400, text)
--- a/tests/fleet/test_planted_distribution.py
+++ b/tests/fleet/test_planted_distribution.py
@@ -707,6 +707,33 @@
             self.search.due(NOW + 11 + number)
         self.assertLess(len(self.search._asked), 100)
 
+    def peers_asked(self, now: float) -> list[str]:
+        """The edges of the zone that are asked at a moment."""
+        return [address for address, _ in self.search.due(now) if address in self.search.peers()]
+
+    def test_edges_of_the_zone_are_asked_in_turn_where_the_core_is_not_found(self) -> None:
+        self.search.set_peers(["b:1", "c:1"])
+        asked = [self.peers_asked(NOW + step) for step in (0.5, 1.45, 1.6, 1.75, 1.85, 1.95, 2.06, 2.27)]
+        self.assertEqual(asked, [[], [], ["c:1"], [], ["b:1"], [], ["c:1"], ["b:1"]])
+
+    def test_edges_of_the_zone_are_not_asked_again_before_their_interval_once_the_leader_was_lost_again(self) -> None:
+        """The time without a leader counts from its last loss, and not from the last question."""
+        self.search.set_peers(["b:1", "c:1"])
+        self.assertEqual(self.peers_asked(NOW + 1.6), ["c:1"])
+        self.attach(NOW + 1.75)
+        self.search.closed(NOW + 2.0, LEADER)
+        asked = [self.peers_asked(NOW + step) for step in (2.0, 3.45, 3.6, 3.75)]
+        self.assertEqual(asked, [[], [], ["b:1"], []])
+
+    def test_edges_of_the_zone_are_not_asked_while_the_leader_answers(self) -> None:
+        self.search.set_peers(["b:1", "c:1"])
+        self.attach()
+        for step in range(1, 11):
+            asked = self.search.due(NOW + 0.4 * step)
+            self.assertEqual([address for address, _ in asked], [LEADER])
+            self.search.answered(NOW + 0.4 * step, *asked[0])
+            self.search.is_leader(NOW + 0.4 * step, LEADER, 3)
+
 
 class PublisherTest(unittest.TestCase):
     """Lists are told under the lease only, and only those that were read in its term."""
@@ -1200,6 +1227,24 @@
         self.assertEqual(sent(told, "renew")[0][0], Dialed(THIRD))
         self.assertIn("x:1", self.edge.addresses())
 
+    def test_an_edge_does_not_ask_itself_who_leads(self) -> None:
+        zone = [pb.Edge(name=name, zone="z", address=f"{name}:7501") for name in ("b", "me", "c")]
+        self.renewed(zone_edges=zone, members_revision=1)
+        self.edge.connection_closed(NOW + 0.1, Dialed(LEADER))
+        asked = [to.address for step in range(40) for to, _ in sent(self.tick(NOW + 0.1 + step / 10), "renew")]
+        self.assertEqual(set(asked), {LEADER, OTHER, THIRD, "b:7501", "c:7501"})
+
+    def test_another_edge_is_told_who_leads_while_the_leader_answers_here(self) -> None:
+        """Nothing else: an edge knows of no freshness, and an old leader's name would lead astray."""
+        def told(now: float) -> list[Any]:
+            return sent(self.receive("renew", pb.Renew(request=9), now, "peer"), "renewed")
+
+        self.assertEqual(told(NOW), [])
+        self.renewed(config_age_ms=0)
+        self.assertEqual(told(NOW + 0.1), [("peer", pb.Renewed(request=9, leader=LEADER))])
+        self.edge.connection_closed(NOW + 0.2, Dialed(LEADER))
+        self.assertEqual(told(NOW + 0.2), [], "the last leader is remembered, and does not answer")
+
     def test_when_it_is_to_be_called(self) -> None:
         self.assertAlmostEqual(self.edge.next_wake(), NOW + 0.1)
         self.renewed()
