--- a/tests/fleet/test_planted_control_quota.py
+++ b/tests/fleet/test_planted_control_quota.py
@@ -358,6 +358,18 @@
         self.issuer.renew(0.0, A, 1, [report(0.0, held)])
         self.assertAlmostEqual(self.bucket(0.0).fill_rate(), before)
 
+    def test_a_new_leader_under_a_limit_below_what_is_leased(self) -> None:
+        """The emergency rate is left whatever runs besides."""
+        self.lead(0.0, 3.0, 5.0)
+        self.bucket(0.0)
+        self.issuer.renew(0.0, A, 1, [report(0.0, LeaseGrant("t", 600.0, 100.0, 3.0, 0.5, 5.0))])
+        low = TenantLimit(100.0, 100.0)
+        self.configure(0.0, low)
+        bucket = self.issuer._bucket(0.0, "t", low)
+        self.assertEqual(bucket.leases.rate, 600.0)
+        self.assertGreater(bucket.emergency_rate, 0.0)
+        self.assertEqual(bucket.fill_rate(), bucket.emergency_rate)
+
     def test_no_deposit_until_the_leases_are_known(self) -> None:
         self.lead(0.0, 3.0, 5.0)
         held = LeaseGrant("t", 100.0, 500.0, 3.0, 0.5, 5.0)
