--- /dev/null
+++ b/benchmarks/policy_trials/variants.py
@@ -0,0 +1,97 @@
+"""What may be switched off or changed, one mechanism at a time, as replacements in the sources."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+AS_IT_IS = "as-it-is"
+ROUTING = "rosechute/routing"
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A text that stands exactly once in a file, and what stands there in the variant."""
+
+    file: str
+    old: str
+    new: str
+
+    def apply(self, root: Path) -> None:
+        """Change the file below a folder. Raises ValueError where the text is not there exactly once."""
+        path = root / self.file
+        text = path.read_text(encoding="utf-8")
+        if text.count(self.old) != 1:
+            raise ValueError(f"{self.file}: {text.count(self.old)} times: {self.old!r}")
+        path.write_text(text.replace(self.old, self.new), encoding="utf-8")
+
+
+def _constant(file: str, name: str, value: str, now: str) -> tuple[Replacement, ...]:
+    return (Replacement(file, f"\n{name} = {now}", f"\n{name} = {value}"),)
+
+
+def _line(file: str, old: str, new: str) -> tuple[Replacement, ...]:
+    return (Replacement(file, old, new),)
+
+
+VARIANTS: Mapping[str, tuple[Replacement, ...]] = {
+    AS_IT_IS: (),
+    "one-choice": _line(
+        f"{ROUTING}/pick.py", "return self._lighter(now, first, server)", "return first"
+    ),
+    "no-known-prefix": _line(f"{ROUTING}/sticky.py", "if known is not None:", "if known is not None and False:"),
+    "no-likely-prefix": _line(
+        f"{ROUTING}/sticky.py", "for server, likely in self._likely_prefix(now, pool, call):",
+        "for server, likely in ():",
+    ),
+    "no-second-likely": _constant(f"{ROUTING}/sticky.py", "LIKELY_SECOND", "0.0", "0.3"),
+    "reading-weight-1": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "1.0", "4.0"),
+    "reading-weight-2": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "2.0", "4.0"),
+    "reading-weight-8": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "8.0", "4.0"),
+    "no-holder-preference": _constant(f"{ROUTING}/sticky.py", "HOLDER_S", "0.0", "0.03"),
+    "no-ordinary-margin": _constant(f"{ROUTING}/sticky.py", "ORDINARY_S", "0.0", "0.02"),
+    "no-zone-tie-break": _line(f"{ROUTING}/pick.py", "else server.latency_s + 0.002", "else server.latency_s"),
+    "no-urgency": _line(f"{ROUTING}/router.py", "if pressure.easy(", "if True or pressure.easy("),
+    "no-level": _constant(f"{ROUTING}/pressure.py", "LEVEL_DOWN", "1.0", "0.93"),
+    "no-starvation-guard": _constant(f"{ROUTING}/pressure.py", "STARVED", "0.0", "0.6"),
+    "no-less-waiting-pick": _line(
+        f"{ROUTING}/router.py", "other = self._picker.least_waiting(now, pool, call)", "other = None"
+    ),
+    "no-shorter-target-bound": _constant(f"{ROUTING}/pressure.py", "MUCH_SHORTER", "1e9", "1.5"),
+    "no-lateness": _constant(f"{ROUTING}/server.py", "EXCESS_GAIN", "0.0", "0.4"),
+    "no-silence": _constant(f"{ROUTING}/server.py", "SILENT_LEAST_S", "1e9", "0.25"),
+    "no-ejection-draws": _constant(f"{ROUTING}/pick.py", "FAILING_POWER", "0", "4"),
+    "no-failing-bound": _constant(f"{ROUTING}/sticky.py", "FAILING", "1.1", "0.12"),
+    "no-early-refusal": _line(
+        f"{ROUTING}/router.py",
+        "elif len(service.line) >= self._tuning.waiting_most or self._hopeless(now, service, call):",
+        "elif len(service.line) >= self._tuning.waiting_most:",
+    ),
+    "refuse-at-first-look": _line(
+        f"{ROUTING}/router.py", "if not call.extended and not self._hopeless(now, service, call):",
+        "if False and not self._hopeless(now, service, call):",
+    ),
+    "no-spread-retry-after": _line(
+        f"{ROUTING}/router.py", "AGAIN_SHARE * left) * (0.75 + 0.5 * self._draw()))", "AGAIN_SHARE * left))"
+    ),
+    "first-budget-1": _line(
+        f"{ROUTING}/server.py", "self.k = min(self.limit, max(tuning.first_budget, self.slots // edges))",
+        "self.k = min(self.limit, 1)",
+    ),
+    "no-learning-down": _line(f"{ROUTING}/server.py", "            self._lower(sent_at, result)", "            pass"),
+    "no-repeats-first": _line(
+        f"{ROUTING}/router.py", "        sent = self._try(now, service, call)  # it came before all that wait\n"
+        "        if sent is not None:\n            return [sent]\n", ""
+    ),
+    "no-rate-leases": _constant("rosechute/control/quota.py", "LEASED_SHARE", "0.0", "0.65"),
+    "no-emergency-rate": _constant("rosechute/control/quota.py", "EMERGENCY_SHARE", "0.0", "0.06"),
+    "no-noted-holders": _line(
+        "rosechute/coordination/lease.py", "return noted.edges if self._previous == noted.term else None",
+        "return None",
+    ),
+    "no-quota-prediction": _line(
+        f"{ROUTING}/quota_wallet.py", "        if min(refused_until, state.covers_at(tokens)) - now > WAIT_S:",
+        "        if False:",
+    ),
+}
--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -124,11 +124,12 @@
         sequence, version, body = configuration.sequence, configuration.version, configuration.body
         self._send_all(self._publisher.committed(now, sequence, version, body))
 
-    def lease_gained(self, term: int) -> None:
-        """This machine leads from here on."""
+    def lease_gained(self, term: int, holders: frozenset[str] | None = None) -> None:
+        """This machine leads from here on. Only `holders` may hold rate leases of earlier terms; None: not known."""
         now = self._clock()
-        logger.info("leads with term {}", term)
-        self._quota.lease_gained(now, term)
+        told = "not known" if holders is None else f"{len(holders)} at most"
+        logger.info("leads with term {}, edges with rate leases: {}", term, told)
+        self._quota.lease_gained(now, term, holders)
         self._send_all(self._publisher.lease_gained(now, term))
         self._reader.lease_gained()
 
@@ -139,6 +140,18 @@
         logger.info("leads no more")
         self._send_all(self._publisher.lease_lost(self._clock()))
 
+    def holders_noted(self, term: int, edges: frozenset[str]) -> None:
+        """The names of the edges that may hold rate leases are synced."""
+        self._quota.holders_noted(term, edges)
+
+    def _note_holders(self, now: float, runtime: ReplicaRuntime) -> None:
+        """Have the edges noted that may hold rate leases, where they have changed."""
+        if self._publisher.state is not PublisherState.LEADER or not runtime.replica.is_leader(now):
+            return
+        edges = self._quota.holders_to_note(now)
+        if edges is not None:
+            runtime.note_holders(self._publisher.term, edges)
+
     # Running
 
     async def _run(self) -> None:
@@ -192,6 +205,7 @@
         if now - due > LATE_TICK_S:
             logger.warning("the loop stood still for {:.1f} s", now - due)
         runtime.tick()
+        self._note_holders(now, runtime)
         self._send_all(self._publisher.tick(now))
 
     def _inform_publisher(self, now: float, replica: Replica) -> None:
--- a/rosechute/control/quota.py
+++ b/rosechute/control/quota.py
@@ -2,11 +2,12 @@
 
 Pure. Issued tokens are spent within their lifetime, a second or less, or are void. A part of the rate is leased to
 edges (`rate_leases`); the bucket fills with the rest. Every leader starts as though its buckets had been empty when
-its term began, and terms don't overlap. Until the leases of earlier leaders have run out, a leader fills its buckets
-only with the part of the rate that is never leased, with what it took over and does not lease, and with a small
-emergency rate. So in any span, all leaders issue and all leases bring at most capacity + (rate + emergency rate) x
-span. What a window sees spent is at most that, and what was outstanding and in the stores of leases at its start. The
-shares of what the rules allow beyond rate x window + burst are named below; together they are less than the whole.
+its term began, and terms don't overlap. Until the leases of earlier leaders have run out, or are all known, a leader
+fills its buckets only with the part of the rate that is never leased, with what it took over and does not lease, and
+with a small emergency rate. So in any span, all leaders issue and all leases bring at most capacity + (rate +
+emergency rate) x span. What a window sees spent is at most that, and what was outstanding and in the stores of leases
+at its start. The shares of what the rules allow beyond rate x window + burst are named below; together they are less
+than the whole.
 A request that waits between its tokens and its server needs no share: in a window count the requests that were both
 sent and have arrived in it, and those took their tokens in it.
 
@@ -22,6 +23,7 @@
 
 from rosechute.routing.lease_exchange import LeaseGrant, LeaseReport, milliseconds
 
+from .lease_holders import LeaseHolders
 from .rate_leases import LEAST_BARE_S, Holder, LeaseTotals, RateLeases
 
 LIFETIME_S = 0.4
@@ -121,6 +123,12 @@
         self.known_from = min(self.known_from, now)
         self.leases.none_run()
 
+    def all_leases_known(self, now: float) -> None:
+        """It has become known that earlier leaders' leases run only where they were reported here."""
+        self.advance(now)
+        self.known_from = min(self.known_from, now)
+        self.leases.all_known(now)
+
     def advance(self, now: float) -> None:
         """Fill, and forget what has run out."""
         self._fill(min(now, self.known_from, self.late_from), self._cautious_rate(late=False))
@@ -173,13 +181,29 @@
         self._lease_since = 0.0
         self._late_from = self._known_from = 0.0
         self._newest_reports: dict[Holder, int] = {}
+        self._holders = LeaseHolders(0.0, None)
 
-    def lease_gained(self, now: float, late_from: float, known_from: float) -> None:
+    def lease_gained(
+        self, now: float, late_from: float, known_from: float, holders: frozenset[str] | None = None
+    ) -> None:
         """Begin with empty buckets. Rate leases of earlier leaders have fallen to their late rate at `late_from`, and
-        have run out at `known_from`."""
+        have run out at `known_from`; only `holders` may hold any, where that is known."""
         self._lease_since, self._late_from, self._known_from = now, late_from, known_from
         self._buckets = {}
         self._newest_reports = {}
+        self._holders = LeaseHolders(now, holders)
+        self._look_whether_all_known(now)
+
+    def holders_to_note(self, now: float) -> frozenset[str] | None:
+        """Names of edges that are to be noted on the disk of this machine now, before any other may be granted a
+        lease; None for nothing."""
+        if now >= self._known_from:
+            self._holders.complete()
+        return self._holders.to_note(now)
+
+    def holders_noted(self, edges: frozenset[str]) -> None:
+        """These names are synced."""
+        self._holders.noted(edges)
 
     def configure(self, now: float, limits: Mapping[str, TenantLimit | None]) -> None:
         """Put the tenants of a configuration in force; None for one without a limit."""
@@ -205,13 +229,25 @@
         if number <= self._newest_reports.get(holder, 0):
             return []
         self._newest_reports[holder] = number
+        if not self._holders.may_grant(now, holder.edge):
+            return []
         grants: list[LeaseGrant] = []
         for report in reports:
             limit = self._limits.get(report.tenant)
             if limit is not None:
                 grants.append(self._renew(now, holder, report, limit))
+            elif report.rate > 0.0 or report.bare_s > 0.0:
+                self._holders.unknown()  # the tenant may have its limit again while this runs
+        self._holders.heard(holder.edge)
+        self._look_whether_all_known(now)
         return grants
 
+    def _look_whether_all_known(self, now: float) -> None:
+        if self._holders.all_heard and now < self._known_from:
+            self._known_from = now
+            for bucket in self._buckets.values():
+                bucket.all_leases_known(now)
+
     def _renew(self, now: float, holder: Holder, report: LeaseReport, limit: TenantLimit) -> LeaseGrant:
         bucket = self._bucket(now, report.tenant, limit)
         if report.bare_s > LEAST_BARE_S:
--- a/rosechute/control/quota_service.py
+++ b/rosechute/control/quota_service.py
@@ -26,10 +26,20 @@
         if not isinstance(parsed, Failure):
             self._issuer.configure(now, _limits(parsed.unwrap()))
 
-    def lease_gained(self, now: float, term: int) -> None:
-        """This machine leads from here on, for a term that is higher than every one before."""
+    def lease_gained(self, now: float, term: int, holders: frozenset[str] | None = None) -> None:
+        """This machine leads from here on, for a term that is higher than every one before. Only `holders` may hold
+        rate leases of earlier terms, where that is known."""
         self._term = term
-        self._issuer.lease_gained(now, now + FULL_REACH_S, now + REACH_S)
+        self._issuer.lease_gained(now, now + FULL_REACH_S, now + REACH_S, holders)
+
+    def holders_to_note(self, now: float) -> frozenset[str] | None:
+        """Names of edges that are to be noted on the disk for this term, asked for while this machine leads."""
+        return self._issuer.holders_to_note(now)
+
+    def holders_noted(self, term: int, edges: frozenset[str]) -> None:
+        """These names are synced for a term."""
+        if term == self._term:
+            self._issuer.holders_noted(edges)
 
     def change_bounds(self, now: float, bounds: Bounds) -> None:
         """The settings name other bounds."""
@@ -38,7 +48,7 @@
     def answer(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
         """Issue what an edge asks for, as far as it may have it. Only while this machine leads."""
         issue = self._issue(now, request)
-        if request.held:
+        if request.held or request.boot:
             self._renew(now, request, issue)
         return issue
 
--- a/rosechute/control/rate_leases.py
+++ b/rosechute/control/rate_leases.py
@@ -7,11 +7,13 @@
 that the edge holds and will hold. The reckoned rates together never exceed the rate to lease, nor the depths theirs.
 
 A new leader does not know who holds what. Until all earlier leases have run out, it leases only what edges have
-reported to it in its own term: each holder's first report is a part of what the leader before had reckoned.
+reported to it in its own term: each holder's first report is a part of what the leader before had reckoned. Where it
+knows the names of all edges that may hold any (`lease_holders`), it need wait for their reports only.
 
 Where a store's part would be too small for the requests, nothing is leased, and edges are told that nothing will be
 for a while. A new leader to which an edge reports such a word, not yet run out, knows that no leases run: the leader
-before kept to it, and every leader leases nothing new before all words of its predecessors have run out.
+before kept to it, and every leader leases nothing new before all words of its predecessors have run out. A leader
+that need not wait for that long is told of them by the edges that it does wait for.
 """
 
 from __future__ import annotations
@@ -107,6 +109,10 @@
         """It has become known that no leases of earlier leaders run."""
         self._none_run = True
 
+    def all_known(self, now: float) -> None:
+        """It has become known that leases of earlier leaders run only where they were reported here."""
+        self._known_from = min(self._known_from, now)
+
     def expire(self, now: float) -> None:
         """Forget what has run out."""
         for each in self._holders.values():
@@ -147,6 +153,7 @@
         held.rate = held.granted = report.rate
         held.depth, held.until = report.depth, now + report.remaining_s * (1 + DRIFT)
         self._adopted = LeaseTotals(self._adopted.rate + report.rate, self._adopted.depth + report.depth)
+        self._bare_until = max(self._bare_until, now + report.bare_s * (1 + DRIFT))
 
     def _available(self, now: float) -> LeaseTotals:
         """What may be leased in all."""
--- a/rosechute/control/replica_runtime.py
+++ b/rosechute/control/replica_runtime.py
@@ -19,6 +19,7 @@
     Answer,
     Committed,
     CommittedConfiguration,
+    HoldersNoted,
     LeaseGained,
     LeaseLost,
     Order,
@@ -48,8 +49,9 @@
     """Who has to know what the replica has come to."""
 
     def committed(self, configuration: CommittedConfiguration) -> None: ...
-    def lease_gained(self, term: int) -> None: ...
+    def lease_gained(self, term: int, holders: frozenset[str] | None) -> None: ...
     def lease_lost(self) -> None: ...
+    def holders_noted(self, term: int, edges: frozenset[str]) -> None: ...
 
 
 class ReplicaRuntime:
@@ -99,6 +101,10 @@
         self._act(self.replica.read(self._clock(), request))
         return answer
 
+    def note_holders(self, term: int, edges: frozenset[str]) -> None:
+        """Note which edges may hold rate leases; the observer is told once that is synced."""
+        self._act(self.replica.note_holders(self._clock(), term, edges))
+
     def resign(self) -> None:
         """Give the leader lease back, if this machine holds it."""
         self._act(self.replica.resign(self._clock()))
@@ -122,10 +128,12 @@
                     self._answer(request, outcome)
                 case Committed(configuration):
                     self._observer.committed(configuration)
-                case LeaseGained(term):
-                    self._observer.lease_gained(term)
+                case LeaseGained(term, holders):
+                    self._observer.lease_gained(term, holders)
                 case LeaseLost():
                     self._observer.lease_lost()
+                case HoldersNoted(term, edges):
+                    self._observer.holders_noted(term, edges)
 
     def _answer(self, request: int, outcome: Outcome) -> None:
         answer = self._waiting.get(request)
--- a/rosechute/coordination/lease.py
+++ b/rosechute/coordination/lease.py
@@ -7,6 +7,11 @@
 machine is synced before it is granted for the first time. That machine alone may have the lease again at once; all
 others wait for one lease. A machine that has become an acceptor knows of no grants, and waits with everybody; to whom
 it then grants renewals it notes beside its next record, as nothing depends on that and a sync would delay orders.
+
+With a grant for a new term a grantor tells the newest term that it had synced before. Every term that was gained had
+been synced by a majority, and a new view begins with the newest term among the promises for it, so the greatest that
+a majority tells is no smaller than the last term that was gained. Where that is the very term for which this machine
+noted which edges may hold rate leases, nobody led in between, and the note still holds.
 """
 
 from __future__ import annotations
@@ -44,6 +49,7 @@
     holder: Term = Term()  # to whom the grant that runs was given
     until: float = 0.0
     kept: str = ""  # the machine to which the grant of the process before was given
+    _previous: tuple[Term, int] = (Term(), 0)  # a term that was synced by this process, and the one before it
     _number: int = 0  # of the newest record with a term or a grantee
 
     def free(self) -> bool:
@@ -76,6 +82,7 @@
         if context.memory.grantee != sender.id:
             self._note(sender, request)
         if not request.renewal and asked != context.memory.term:
+            self._previous = asked, context.memory.term.number
             self._record(pb.Record(term=asked.message()))
         context.disk.after(self._number, partial(self._grant, sender, request, asked))
 
@@ -117,7 +124,10 @@
         if self.holder != asked or not (request.renewal or context.memory.term == asked):
             return
         self.until = context.now + context.timing.lease
-        grant = pb.LeaseGrant(epoch=request.epoch, term=request.term, stamp=request.stamp, boot=asked.boot)
+        grant = pb.LeaseGrant(
+            epoch=request.epoch, term=request.term, stamp=request.stamp, boot=asked.boot,
+            previous=self._previous[1] if self._previous[0] == asked else request.term,
+        )
         context.outbox.send(sender, pb.CoreMessage(lease_grant=grant))
 
 
@@ -143,6 +153,7 @@
     _since: float = 0.0
     _stamps: dict[str, float] = field(default_factory=dict)  # newest stamp of ours that each acceptor granted
     _stamps_epoch: int = 0
+    _previous: int = 0  # newest term before the one asked for that any acceptor told
 
     def holds(self, now: float) -> bool:
         """Whether this machine holds the lease."""
@@ -198,6 +209,7 @@
         if self._stamps_epoch != view.epoch:
             self._stamps, self._stamps_epoch = {}, view.epoch
         self._stamps[sender.id] = max(grant.stamp, self._stamps.get(sender.id, grant.stamp))
+        self._previous = max(self._previous, grant.previous)
         stamps = sorted(self._stamps.values(), reverse=True)
         if len(stamps) >= view.majority:
             timing = self.context.timing
@@ -210,7 +222,12 @@
         if self.standing is Standing.CANDIDATE:
             self.standing = Standing.LEADER
             self.context.announce = True
-            self.context.outbox.actions.append(LeaseGained(self.term))
+            self.context.outbox.actions.append(LeaseGained(self.term, self._known_holders()))
+
+    def _known_holders(self) -> frozenset[str] | None:
+        """The only edges that may hold rate leases of earlier terms; None where that is not known here."""
+        noted = self.context.memory.holders
+        return noted.edges if self._previous == noted.term else None
 
     def _ask(self) -> None:
         context = self.context
@@ -232,6 +249,7 @@
         self.until = 0.0
         self._since = context.now
         self._stamps, self._stamps_epoch = {}, context.memory.view.epoch
+        self._previous = 0
         self._ask()
 
     def _become_follower(self) -> None:
--- a/rosechute/coordination/memory.py
+++ b/rosechute/coordination/memory.py
@@ -28,6 +28,18 @@
 from rosechute.messages import coordination_pb2 as pb
 
 
+@dataclass(frozen=True, slots=True)
+class RateLeaseHolders:
+    """The only edges that may hold rate leases of this term or an earlier one, as this machine noted while it led."""
+
+    term: int = 0  # 0: nothing was noted
+    edges: frozenset[str] = frozenset()
+
+    def message(self) -> pb.RateLeaseHoldersRecord:
+        """As a message."""
+        return pb.RateLeaseHoldersRecord(term=self.term, edges=sorted(self.edges))
+
+
 @dataclass(slots=True)
 class Memory:
     """The durable knowledge of a machine. `written` is a chain write that isn't known to stay yet."""
@@ -42,6 +54,7 @@
     term: Term = Term()
     grantee: str = ""  # to whom the newest grant of the leader lease was given; empty before the first as acceptor
     grantee_number: int = 0  # of the record that told
+    holders: RateLeaseHolders = RateLeaseHolders()
 
     @property
     def sealed(self) -> bool:
@@ -82,6 +95,8 @@
             self._apply_term(term_of(record.term))
         elif kind == "grantee":
             self._apply_grantee(record.grantee)
+        elif kind == "rate_lease_holders":
+            self._apply_holders(record.rate_lease_holders)
         elif kind == "whole":
             self._apply_whole(record.whole)
 
@@ -135,6 +150,10 @@
         if record.number > self.grantee_number:
             self.grantee, self.grantee_number = record.holder, record.number
 
+    def _apply_holders(self, record: pb.RateLeaseHoldersRecord) -> None:
+        if record.term >= self.holders.term:
+            self.holders = RateLeaseHolders(record.term, frozenset(record.edges))
+
     def _apply_whole(self, record: pb.WholeRecord) -> None:
         self.machine, self.newcomer = identity_of(record.machine.machine), record.machine.newcomer
         self.view = view_of(record.view)
@@ -145,6 +164,8 @@
         self.accepted = proposal_of(record.accepted) if record.HasField("accepted") else None
         self.term = term_of(record.term)
         self.grantee, self.grantee_number = record.grantee.holder, record.grantee.number
+        noted = record.rate_lease_holders
+        self.holders = RateLeaseHolders(noted.term, frozenset(noted.edges))
 
     def whole(self) -> pb.Record:
         """One record that replaces all earlier ones."""
@@ -153,6 +174,7 @@
             committed=self.committed.message(),
             term=self.term.message(),
             grantee=pb.GranteeRecord(holder=self.grantee, number=self.grantee_number),
+            rate_lease_holders=self.holders.message(),
         )
         if self.machine is not None:
             whole.machine.CopyFrom(pb.MachineRecord(machine=machine_of(self.machine), newcomer=self.newcomer))
--- a/rosechute/coordination/replica.py
+++ b/rosechute/coordination/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from rosechute.coordination.acceptor import Acceptor
 from rosechute.coordination.chain import Chain
@@ -14,9 +15,17 @@
 from rosechute.coordination.heartbeats import Heartbeats
 from rosechute.coordination.lease import Grantor, Holder
 from rosechute.coordination.membership import Membership
-from rosechute.coordination.memory import load
+from rosechute.coordination.memory import RateLeaseHolders, load
 from rosechute.coordination.outbox import Outbox
-from rosechute.coordination.types import Action, Committed, CommittedConfiguration, Identity, Order, ReplicaConfig
+from rosechute.coordination.types import (
+    Action,
+    Committed,
+    CommittedConfiguration,
+    HoldersNoted,
+    Identity,
+    Order,
+    ReplicaConfig,
+)
 from rosechute.coordination.views import State, View, bootstrap_id, first_view, identity_of, machine_of, random_id
 from rosechute.messages import coordination_pb2 as pb
 from rosechute.messages.coordination_pb2 import CoreMessage
@@ -142,6 +151,16 @@
         self._holder.give_up()
         return self._leave()
 
+    def note_holders(self, now: float, term: int, edges: frozenset[str]) -> list[Action]:
+        """Note on the disk that no other edges may hold rate leases of this term or an earlier one; nothing where
+        this machine doesn't lead with that term any more."""
+        self._enter(now)
+        if self._holder.holds(now) and self._holder.term == term:
+            record = pb.Record(rate_lease_holders=RateLeaseHolders(term, edges).message())
+            noted = HoldersNoted(term, edges)
+            self._context.disk.write(record, partial(self._context.outbox.actions.append, noted))
+        return self._leave()
+
     def update_seeds(self, seeds: Sequence[tuple[str, str]]) -> None:
         """The settings name other seeds now."""
         self._heartbeats.seeds = tuple(seeds)
--- a/rosechute/coordination/types.py
+++ b/rosechute/coordination/types.py
@@ -162,6 +162,7 @@
     """This machine holds the leader lease from here on."""
 
     term: int
+    holders: frozenset[str] | None = None  # the only edges that may hold rate leases of earlier terms; None: any may
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,4 +170,12 @@
     """This machine holds the leader lease no more."""
 
 
-Action = Send | Persist | Answer | Committed | LeaseGained | LeaseLost
+@dataclass(frozen=True, slots=True)
+class HoldersNoted:
+    """The edges that may hold rate leases are synced."""
+
+    term: int
+    edges: frozenset[str]
+
+
+Action = Send | Persist | Answer | Committed | LeaseGained | LeaseLost | HoldersNoted
--- a/rosechute/data/admission.py
+++ b/rosechute/data/admission.py
@@ -79,8 +79,10 @@
         self.table = RouteTable(configuration)
         self._ranks = _ranks(configuration)
 
-    def admit(self, message: Message, ticket: Ticket, now: float, draw: Callable[[], float]) -> Admitted | Refusal:
-        """Read a request's head."""
+    def admit(
+        self, message: Message, ticket: Ticket, now: float, split_point: Callable[[str], float]
+    ) -> Admitted | Refusal:
+        """Read a request's head. `split_point` gives a number from 0 up to 1 for a choice by weight on a route."""
         told = _fields(message)
         if told is None:
             return Refusal(400)
@@ -94,7 +96,7 @@
         if isinstance(allowed, Refusal):
             return allowed
         route, tenant = allowed
-        return self._admitted(message, ticket, now, draw, told, request_id, route, tenant, host, path, key)
+        return self._admitted(message, ticket, now, split_point, told, request_id, route, tenant, host, path, key)
 
     def allows(self, host: str, path: str, key: str) -> tuple[Route, Tenant | None] | Refusal:
         """The route and the tenant of a request, if it is allowed."""
@@ -113,8 +115,9 @@
         return self.table.has_tenants and not route.public_access
 
     def _admitted(
-        self, message: Message, ticket: Ticket, now: float, draw: Callable[[], float], told: dict[bytes, bytes],
-        request_id: bytes, route: Route, tenant: Tenant | None, host: str, path: str, key: str,
+        self, message: Message, ticket: Ticket, now: float, split_point: Callable[[str], float],
+        told: dict[bytes, bytes], request_id: bytes, route: Route, tenant: Tenant | None,
+        host: str, path: str, key: str,
     ) -> Admitted:
         arrived = min(now, message.came)
         wait_s = route.timeout_ms / 1e3
@@ -124,7 +127,7 @@
         silence_s = _silence_s(route) if route.streaming else 0.0
         priority = self._ranks[(tenant.priority if tenant is not None else 0, route.priority)]
         input_tokens, output_tokens = _token_counts(told.get(TOKEN_COUNT))
-        service = route.pick_service(draw)
+        service = route.pick_service(lambda: split_point(route.name))
         routing = RoutingRequest(
             ticket=ticket, service=service, route=route.name, priority=priority,
             deadline=client_limit if route.streaming else hold_limit,
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -22,6 +22,7 @@
 from rosechute.data.request import STOPPING_RETRY_S, ClientRequest
 from rosechute.data.servers import Servers
 from rosechute.data.shutdown import Shutdown
+from rosechute.data.traffic_split import SplitSequences
 from rosechute.routing.model import AttemptResult, ServerEntry
 
 OTHER_PLANES_MB = 36  # memory of the program beyond the data plane's own
@@ -46,6 +47,7 @@
     ) -> None:
         self.loop = loop
         self._settings, self._quota, self._freshness, self._draw = settings, quota, freshness, draw
+        self._splits = SplitSequences(draw)
         self._clock = clock  # the loop's clock, read anew: the loop's own time stands still while a turn lasts
         shares = _descriptors(settings)
         self.budget = Budget(_memory_mb(settings))
@@ -102,7 +104,9 @@
             return
         self._in_force = InForce(configuration, sequence)
         self.front.apply_limits(configuration.limits)
-        self._durations.keep({route.name for route in configuration.routes})
+        routes = {route.name for route in configuration.routes}
+        self._durations.keep(routes)
+        self._splits.keep(routes)
         kept = {service.name for service in configuration.services}
         self._dispatcher.forget_services(kept)
         had = {service.name for service in before.configuration.services} if before is not None else set()
@@ -148,7 +152,7 @@
         in_force = self._in_force
         if in_force is None:
             return self._not_ready()
-        admitted = in_force.admit(message, ticket, self.loop.time(), self._draw)
+        admitted = in_force.admit(message, ticket, self.loop.time(), self._splits.next_point)
         if isinstance(admitted, Refusal):
             return self._refusal(admitted)
         if in_force.needs_key(admitted.route) and not self._lease_holds():
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -77,6 +77,11 @@
         """Whether the leader answers."""
         return self._search.state is SearchState.ATTACHED
 
+    @property
+    def leader_term(self) -> int:
+        """The highest term of a leader that answered; 0 before the first."""
+        return self._search.term
+
     def leaderless_since(self) -> float | None:
         """Since when there is no leader to be asked; None while there is one, or one that is only silent."""
         since = self._search.leaderless_since
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -111,6 +111,8 @@
             else:
                 self._apply(action)
         self._log_leader()
+        if self.subscriber.attached:
+            self.quota.follow(self.subscriber.leader_term)
         self._wake_at(max(self.subscriber.next_wake(), self._loop.time() + LEAST_SLEEP_S))
 
     def _log_leader(self) -> None:
--- a/rosechute/processes/quota_client.py
+++ b/rosechute/processes/quota_client.py
@@ -60,6 +60,13 @@
         if self._wallet.waits() or issue.term:
             self._wake()
 
+    def follow(self, term: int) -> None:
+        """The leader of this term is known."""
+        if term > self._wallet.term:
+            now = self._loop.time()
+            self._wallet.follow(now, term)
+            self._wake_at(now)
+
     def close(self) -> None:
         """Wait for nothing any more."""
         if self._timer is not None:
@@ -102,7 +109,7 @@
     def _report(self, now: float) -> None:
         request = next(self._requests)
         reports = self._wallet.report(now, request)
-        if not reports:
+        if not self._wallet.reports_with(request):
             return
         held = [report.message() for report in reports]
         message = pb.QuotaRequest(
--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -181,7 +181,8 @@
         self._reported_at = -math.inf  # when it was sent
         self._report_due = -math.inf
         self._leaderless = False  # no leader was known at the last tick
-        self.term = 0  # of the leader that answered a report last
+        self.term = 0  # of the leader that answered a report last, or is followed since
+        self._introduced = True  # whether that leader has answered a report
 
     def spend(self, now: float, tenant: str, tokens: int, decided: Decided) -> list[Decision]:
         """A request wants to be sent."""
@@ -228,21 +229,38 @@
                 decisions += self._issued(now, sent_at, state, issue)
         return decisions
 
+    def follow(self, now: float, term: int) -> None:
+        """A leader of this term is followed. It may wait for a report of every edge, also of one without leases."""
+        if term > self.term:
+            self.term = term
+            self._introduced = False
+            self._report_due = now
+
     def report(self, now: float, request: int) -> list[LeaseReport]:
-        """What to report to the leader now, under this request number, higher than all before; nothing if not due."""
+        """What to report to the leader now, under this request number, higher than all before; `reports_with` tells
+        whether to report at all."""
         if now < self._report_due:
             return []
-        reports = [state.report(now, name) for name, state in self._tenants.items() if state.reported(now)]
-        if reports:
+        reports = [state.report(now, name) for name, state in self._tenants.items() if self._reported(now, state)]
+        if reports or not self._introduced:
             self._report, self._reported_at, self._report_due = request, now, now + REPORT_LOST_S
         return reports
 
+    def _reported(self, now: float, state: _Tenant) -> bool:
+        """Whether a report tells of a tenant; the first one to a leader also of the word of an earlier one."""
+        return state.reported(now) or (not self._introduced and now < state.lease.bare_until)
+
+    def reports_with(self, request: int) -> bool:
+        """Whether there is a report under this number, be it an empty one."""
+        return request == self._report
+
     def granted(self, now: float, request: int, term: int, grants: list[LeaseGrant]) -> list[Decision]:
         """The leader's answer to a report. One of another term than the report's makes a new report due."""
         if request != self._report:
             return []
         self._report = 0
         self._report_due = self._reported_at + REPORT_S if term == self.term else now
+        self._introduced = term == self.term
         self.term = term
         decisions: list[Decision] = []
         for grant in grants:
@@ -289,7 +307,7 @@
 
     def report_due(self, now: float) -> float:
         """When `report` has something to tell; infinity where nothing is demanded or held."""
-        if any(state.reported(now) for state in self._tenants.values()):
+        if not self._introduced or any(state.reported(now) for state in self._tenants.values()):
             return self._report_due
         return math.inf
 
--- a/tests/fleet/quota_world.py
+++ b/tests/fleet/quota_world.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from rosechute.configuration.process import Bounds
@@ -17,6 +18,9 @@
 from rosechute.processes.quota_client import QuotaClient
 
 TENANT = "t"
+CORES = 4
+TICK_S = 0.04  # between two looks of a leader at what it is to note
+SYNC_S = (0.004, 0.06)
 Call = Callable[[], None]
 
 
@@ -140,6 +144,9 @@
         """Take a core machine for the leader, or none."""
         self.leader = leader
         self.leaderless_since = self.world.events.now if leader is None else None
+        if leader is not None:
+            follow = self.client.follow
+            self.loop.run(Handle(lambda: follow(self.world.term)))
 
     def send(self, message: pb.Distribution) -> None:
         """To the leader, as far as known."""
@@ -184,7 +191,10 @@
         self.counted = Counted()
         self.bounds, self.limit, self.sizes = bounds, limit, sizes
         self.loss, self.slow_share = 0.0, 0.0
-        self.cores = [service(bounds) for _ in range(4)]
+        self._service = service
+        self.cores = [service(bounds) for _ in range(CORES)]
+        self.notes: list[tuple[int, frozenset[str]]] = [(0, frozenset())] * CORES  # on each disk: term, edges
+        self._body = b""
         self.leading: dict[int, float] = {}  # until when a core machine believes that it leads
         self.term = 0
         self.versions = 0
@@ -202,20 +212,58 @@
         tenant = {"name": TENANT, "api_keys": ["k"], "rate_per_s": limit.rate, "burst": limit.burst}
         tenant |= {"unit": "token_stream", "uncached_tokens": 200}
         body = {"config_version": self.versions, "routes": [], "services": [], "tenants": [tenant]}
+        self._body = json.dumps(body).encode()
         for core in self.cores:
-            core.committed(self.events.now, json.dumps(body).encode())
+            core.committed(self.events.now, self._body)
 
     def lead(self, core: int, overlap_s: float = 0.0) -> None:
         """A new term begins; who led before believes in it for the overlap."""
         now = self.events.now
         for other in self.leading:
             self.leading[other] = min(self.leading[other], now + overlap_s)
+        holders = self.holders_known(core)
         self.term += 1
         self.leading[core] = 1e9
-        self.cores[core].lease_gained(now, self.term)
+        self.cores[core].lease_gained(now, self.term, holders)
+        self.note(core, self.term)
         for edge in self.edges:
             self.events.at(now + self.draw.uniform(0.0, 0.4), lambda edge=edge: self.learn(edge, core))  # type: ignore[misc]
 
+    def holders_known(self, core: int) -> frozenset[str] | None:
+        """What `coordination.lease` tells a machine that gains the lease: its note, where nobody led since."""
+        term, edges = self.notes[core]
+        return edges if term == self.term else None
+
+    def note(self, core: int, term: int) -> None:
+        """A leader's disk, for as long as it leads with this term."""
+        if self.term != term or self.leading.get(core, 0.0) <= self.events.now:
+            return
+        service = self.cores[core]
+        edges = service.holders_to_note(self.events.now)
+        if edges is not None:
+            synced_at = self.events.now + self.draw.uniform(*SYNC_S)
+            self.events.at(synced_at, partial(self.sync, core, service, term, edges))
+        self.events.at(self.events.now + TICK_S, partial(self.note, core, term))
+
+    def sync(self, core: int, service: QuotaService, term: int, edges: frozenset[str]) -> None:
+        """A note is synced; where the machine has lost power meanwhile, it may be on its disk or not."""
+        if self.cores[core] is service:
+            self.notes[core] = (term, edges)
+            service.holders_noted(term, edges)
+        elif self.notes[core][0] <= term and self.draw.random() < 0.5:
+            self.notes[core] = (term, edges)
+
+    def lose_power(self, edges: bool = True) -> None:
+        """Every core machine loses power, and the edges, too; all are back at once, and none leads."""
+        self.leading = {}
+        for core in range(CORES):
+            self.cores[core] = self._service(self.bounds)
+            self.cores[core].committed(self.events.now, self._body)
+        for edge in self.edges if edges else ():
+            edge.restart()
+        for edge in self.edges:
+            edge.follow(None)
+
     def learn(self, edge: Edge, core: int) -> None:
         """An edge finds the leader."""
         if self.leading.get(core, 0.0) > self.events.now and self.events.now >= edge.cut_until:
--- a/tests/fleet/simulated_core.py
+++ b/tests/fleet/simulated_core.py
@@ -109,12 +109,15 @@
     def committed(self, configuration: CommittedConfiguration) -> None:
         self.committed_sequences.append(configuration.sequence)
 
-    def lease_gained(self, term: int) -> None:
+    def lease_gained(self, term: int, holders: frozenset[str] | None) -> None:
         pass
 
     def lease_lost(self) -> None:
         pass
 
+    def holders_noted(self, term: int, edges: frozenset[str]) -> None:
+        pass
+
 
 class SimulatedCore:
     """The machines, their links and the steady clock that all of them share."""
--- a/tests/fleet/simulation/machine.py
+++ b/tests/fleet/simulation/machine.py
@@ -219,8 +219,11 @@
     def committed(self, configuration: CommittedConfiguration) -> None:
         self.world.on_committed(self, Committed(configuration))
 
-    def lease_gained(self, term: int) -> None:
-        self.world.on_lease(self, LeaseGained(term))
+    def lease_gained(self, term: int, holders: frozenset[str] | None) -> None:
+        self.world.on_lease(self, LeaseGained(term, holders))
+
+    def holders_noted(self, term: int, edges: frozenset[str]) -> None:
+        pass
 
     def lease_lost(self) -> None:
         self.world.on_lease(self, LeaseLost())
--- /dev/null
+++ b/tests/fleet/test_control_lease_holders.py
@@ -0,0 +1,215 @@
+"""Names of the edges that may hold rate leases: when they are noted, who may be granted, and what a new term makes of
+them."""
+
+from __future__ import annotations
+
+import unittest
+
+from rosechute.control.lease_holders import TIDY_S, LeaseHolders
+from rosechute.control.quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
+from rosechute.control.rate_leases import FULL_REACH_S, REACH_S, Holder
+from rosechute.coordination.memory import Memory, RateLeaseHolders, load
+from rosechute.messages import coordination_pb2 as pb
+from rosechute.routing.lease_exchange import LeaseReport
+
+A, B, C = "edge-a", "edge-b", "edge-c"
+GAIN = 100.0
+LIMIT = TenantLimit(10_000.0, 10_000.0)
+
+
+def names(*edges: str) -> frozenset[str]:
+    return frozenset(edges)
+
+
+def report(rate: float = 0.0, remaining_s: float = 0.0, bare_s: float = 0.0, tenant: str = "t") -> LeaseReport:
+    return LeaseReport(tenant, rate, 4.0 * rate, remaining_s, 0.0, 3_000.0, 500.0, bare_s)
+
+
+class UnknownNamesTest(unittest.TestCase):
+    """Earlier leases may run anywhere: all are granted until the first note, which names everybody granted."""
+
+    def setUp(self) -> None:
+        self.holders = LeaseHolders(GAIN, None)
+
+    def test_everybody_is_granted_and_nothing_noted(self) -> None:
+        self.assertTrue(self.holders.may_grant(GAIN, A))
+        self.assertIsNone(self.holders.to_note(GAIN))
+        self.assertFalse(self.holders.all_heard)
+
+    def test_the_first_note_names_who_was_granted(self) -> None:
+        self.holders.may_grant(GAIN, A)
+        self.holders.complete()
+        self.assertEqual(self.holders.to_note(GAIN + REACH_S), names(A))
+
+    def test_a_lease_that_has_run_out_is_not_named(self) -> None:
+        self.holders.may_grant(GAIN, A)
+        self.holders.may_grant(GAIN + 1.0, B)
+        self.holders.complete()
+        self.assertEqual(self.holders.to_note(GAIN + REACH_S + 0.5), names(B))
+
+
+class NotedNamesTest(unittest.TestCase):
+    """From the first note on, nobody is granted anything who is not in every note that may be on the disk."""
+
+    def setUp(self) -> None:
+        self.holders = LeaseHolders(GAIN, names(A))
+
+    def test_earlier_edges_may_be_granted_before_the_first_note(self) -> None:
+        self.assertTrue(self.holders.may_grant(GAIN, A))
+        self.assertFalse(self.holders.may_grant(GAIN, B))
+
+    def test_a_new_edge_is_granted_once_it_is_noted(self) -> None:
+        first = self.holders.to_note(GAIN)
+        self.assertEqual(first, names(A))
+        self.assertFalse(self.holders.may_grant(GAIN, B))
+        self.assertIsNone(self.holders.to_note(GAIN), "one note at a time")
+        self.holders.noted(names(A))
+        self.assertEqual(self.holders.to_note(GAIN), names(A, B))
+        self.assertFalse(self.holders.may_grant(GAIN, B), "its note is on its way only")
+        self.assertTrue(self.holders.may_grant(GAIN, A))
+        self.holders.noted(names(A, B))
+        self.assertTrue(self.holders.may_grant(GAIN, B))
+        self.assertIsNone(self.holders.to_note(GAIN))
+
+    def test_two_new_edges_do_not_push_each_other_out(self) -> None:
+        self.holders.noted(self.holders.to_note(GAIN) or names())
+        for edge in (B, C):
+            self.holders.may_grant(GAIN, edge)
+            self.holders.noted(self.holders.to_note(GAIN) or names())
+        self.assertTrue(self.holders.may_grant(GAIN, B))
+        self.assertTrue(self.holders.may_grant(GAIN, C))
+
+    def test_who_leaves_the_next_note_is_not_granted(self) -> None:
+        self.holders.heard(A)
+        self.holders.noted(self.holders.to_note(GAIN) or names())
+        self.holders.may_grant(GAIN + REACH_S + 1.0, B)
+        self.assertEqual(self.holders.to_note(GAIN + REACH_S + 1.0), names(B))
+        self.assertFalse(self.holders.may_grant(GAIN + REACH_S + 1.0, A))
+
+    def test_an_edge_that_was_not_heard_stays_named(self) -> None:
+        self.holders.noted(self.holders.to_note(GAIN) or names())
+        self.holders.may_grant(GAIN + REACH_S + 1.0, B)
+        self.assertEqual(self.holders.to_note(GAIN + REACH_S + 1.0), names(A, B))
+
+    def test_edges_that_are_gone_are_left_out_in_time(self) -> None:
+        self.holders.heard(A)
+        self.holders.noted(self.holders.to_note(GAIN) or names())
+        self.assertIsNone(self.holders.to_note(GAIN + TIDY_S))
+        self.assertEqual(self.holders.to_note(GAIN + TIDY_S + 0.1), names())
+
+    def test_all_are_heard_once_each_has_reported(self) -> None:
+        holders = LeaseHolders(GAIN, names(A, B))
+        holders.heard(A)
+        self.assertFalse(holders.all_heard)
+        holders.heard(C)
+        self.assertFalse(holders.all_heard)
+        holders.heard(B)
+        self.assertTrue(holders.all_heard)
+
+    def test_nothing_to_be_heard_is_known_at_once(self) -> None:
+        self.assertTrue(LeaseHolders(GAIN, names()).all_heard)
+
+    def test_a_report_that_is_not_taken_in_leaves_it_unknown(self) -> None:
+        holders = LeaseHolders(GAIN, names(A))
+        holders.unknown()
+        holders.heard(A)
+        self.assertFalse(holders.all_heard)
+
+
+class NewTermTest(unittest.TestCase):
+    """The issuer of a leader that was told who may hold leases of earlier terms."""
+
+    def setUp(self) -> None:
+        self.issuer = QuotaIssuer(QuotaBounds(8.0, 0.1, 110_000.0))
+        self.issuer.configure(GAIN, {"t": LIMIT, "free": None})
+        self.number = 0
+
+    def gain(self, holders: frozenset[str] | None) -> None:
+        self.issuer.lease_gained(GAIN, GAIN + FULL_REACH_S, GAIN + REACH_S, holders)
+        self.issuer.holders_to_note(GAIN)
+
+    def renew(self, now: float, edge: str, *reports: LeaseReport) -> float:
+        """The rate granted."""
+        self.number += 1
+        grants = self.issuer.renew(now, Holder(edge, 1), self.number, reports)
+        return sum(grant.rate for grant in grants)
+
+    def issued_by(self, now: float) -> int:
+        """Tokens that can be had one second after the gain."""
+        (issued,) = self.issuer.issue(now, C, [Wanted("t", 100_000, 1)])
+        return issued.tokens
+
+    def test_the_whole_rate_once_all_have_reported(self) -> None:
+        self.gain(names(A, B))
+        self.renew(GAIN + 0.1, A)
+        self.renew(GAIN + 0.1, B)
+        self.assertGreater(self.issued_by(GAIN + 1.0), 0.45 * LIMIT.rate_per_s, "half of what it holds goes ahead")
+
+    def test_a_part_of_the_rate_while_one_is_silent(self) -> None:
+        self.gain(names(A, B))
+        self.renew(GAIN + 0.1, A)
+        silent = self.issued_by(GAIN + 1.0)
+        self.gain(None)
+        self.assertEqual(silent, self.issued_by(GAIN + 1.0))
+
+    def test_what_is_reported_goes_off_the_rate(self) -> None:
+        self.gain(names(A))
+        self.renew(GAIN + 0.1, A, report(6_000.0, 4.0))
+        self.assertLess(self.issued_by(GAIN + 1.0), 0.25 * LIMIT.rate_per_s)
+
+    def test_new_leases_once_all_have_reported(self) -> None:
+        self.gain(names(A, B))
+        self.assertEqual(self.renew(GAIN + 0.1, A, report()), 0.0)
+        self.renew(GAIN + 0.2, B)
+        self.assertGreater(self.renew(GAIN + 0.6, A, report()), 0.0)
+
+    def test_nothing_is_leased_while_an_earlier_word_runs(self) -> None:
+        self.gain(names(A))
+        self.renew(GAIN + 0.1, A, report(bare_s=3.0))
+        self.assertEqual(self.renew(GAIN + 2.0, A, report()), 0.0)
+        self.assertGreater(self.renew(GAIN + 3.2, A, report()), 0.0)
+
+    def test_a_lease_of_a_tenant_without_a_limit_has_to_run_out(self) -> None:
+        self.gain(names(A))
+        self.renew(GAIN + 0.1, A, report(6_000.0, 4.0, tenant="free"))
+        first = self.issued_by(GAIN + 1.0)
+        self.gain(None)
+        self.assertEqual(first, self.issued_by(GAIN + 1.0))
+
+    def test_an_edge_that_is_not_noted_is_granted_nothing(self) -> None:
+        self.gain(names(A))
+        self.renew(GAIN + 0.1, A, report())
+        self.assertEqual(self.renew(GAIN + 0.2, B, report()), 0.0)
+        self.issuer.holders_noted(names(A))
+        noted = self.issuer.holders_to_note(GAIN + 0.3)
+        self.assertEqual(noted, names(A, B))
+        self.issuer.holders_noted(noted or names())
+        self.assertGreater(self.renew(GAIN + 0.7, B, report()), 0.0)
+
+    def test_names_are_noted_when_earlier_leases_have_run_out(self) -> None:
+        self.gain(None)
+        self.renew(GAIN + 1.0, A, report())
+        self.assertIsNone(self.issuer.holders_to_note(GAIN + REACH_S - 0.1))
+        self.assertEqual(self.issuer.holders_to_note(GAIN + REACH_S), names(A))
+
+
+class DiskTest(unittest.TestCase):
+    """The newest note of a disk counts; one of an earlier term changes nothing."""
+
+    def note(self, term: int, *edges: str) -> pb.Record:
+        return pb.Record(rate_lease_holders=pb.RateLeaseHoldersRecord(term=term, edges=edges))
+
+    def test_a_later_note_replaces(self) -> None:
+        records = [self.note(3, A).SerializeToString(), self.note(3, A, B).SerializeToString()]
+        self.assertEqual(load(records).holders, RateLeaseHolders(3, names(A, B)))
+
+    def test_a_note_of_an_earlier_term_is_passed_over(self) -> None:
+        memory = Memory()
+        memory.apply(self.note(4, A))
+        memory.apply(self.note(3, B))
+        self.assertEqual(memory.holders, RateLeaseHolders(4, names(A)))
+
+    def test_a_whole_record_has_it(self) -> None:
+        memory = Memory()
+        memory.apply(self.note(4, A, B))
+        self.assertEqual(load([memory.whole().SerializeToString()]).holders, RateLeaseHolders(4, names(A, B)))
--- a/tests/fleet/test_planted_control_quota.py
+++ b/tests/fleet/test_planted_control_quota.py
@@ -733,11 +733,13 @@
             receive=lambda now, message: self.called("receive", message),
             tick=lambda now: self.called("tick"),
             start=lambda now: self.called("start"),
+            note_holders=lambda now, term, edges: self.called("note", term, edges),
         )
         observer = SimpleNamespace(
             committed=lambda value: self.observed.append(value),
-            lease_gained=lambda term: self.observed.append(term),
+            lease_gained=lambda term, holders: self.observed.append((term, holders)),
             lease_lost=lambda: self.observed.append("lost"),
+            holders_noted=lambda term, edges: self.observed.append(("noted", term, edges)),
         )
         untyped: Any = replica
         self.runtime = ReplicaRuntime(
@@ -766,9 +768,16 @@
     def test_what_is_told(self) -> None:
         configuration = core.CommittedConfiguration(1, 2, b"", b"")
         message = CoreMessage(boot=3)
-        self.act(core.Send("a:1", message), core.LeaseGained(7), core.Committed(configuration), core.LeaseLost())
+        gained = core.LeaseGained(7, frozenset("a"))
+        noted = core.HoldersNoted(7, frozenset("b"))
+        self.act(core.Send("a:1", message), gained, core.Committed(configuration), core.LeaseLost(), noted)
         self.assertEqual(self.sent, [("a:1", message)])
-        self.assertEqual(self.observed, [7, configuration, "lost"])
+        told = [(7, frozenset("a")), configuration, "lost", ("noted", 7, frozenset("b"))]
+        self.assertEqual(self.observed, told)
+
+    def test_names_to_note_go_to_the_replica(self) -> None:
+        self.runtime.note_holders(3, frozenset("b"))
+        self.assertEqual(self.calls[-1], ("note", 3, frozenset("b")))
 
     def test_records_are_appended_and_told_once_synced(self) -> None:
         self.act(core.Persist(4, [b"r"]))
@@ -776,7 +785,7 @@
         self.assertEqual((kind, records, self.calls[1:]), ("append", [b"r"], []))
         self.actions = [core.LeaseGained(1)]
         done(Success(None))
-        self.assertEqual((self.calls[-1], self.observed), (("persisted", 4), [1]))
+        self.assertEqual((self.calls[-1], self.observed), (("persisted", 4), [(1, None)]))
 
     def test_a_failed_write_is_followed_by_a_snapshot(self) -> None:
         self.act(core.Persist(4, [b"r"]))
--- a/tests/fleet/test_planted_coordination_leases.py
+++ b/tests/fleet/test_planted_coordination_leases.py
@@ -11,6 +11,7 @@
 from rosechute.coordination.freshness import Freshness
 from rosechute.coordination.heartbeats import Heartbeats
 from rosechute.coordination.lease import Grantor, Holder, Standing, free_grantors
+from rosechute.coordination.memory import RateLeaseHolders
 from rosechute.coordination.types import LeaseGained, LeaseLost, Send, Timing
 from rosechute.coordination.views import Term
 from rosechute.messages import coordination_pb2 as pb
@@ -88,6 +89,16 @@
         self.assertEqual((self.parts.memory.term, self.parts.memory.grantee), (term(4), "b"))
         self.assertEqual(self.parts.memory.grantee_number, 1)
 
+    def test_grant_tells_the_term_before(self) -> None:
+        self.parts.memory.term = term(3)
+        self.assertEqual([each.previous for each in self.request(number=4)], [3])
+        self.assertEqual([each.previous for each in self.request(number=4)], [3], "asked again")
+        self.assertEqual([each.previous for each in self.request(number=6)], [4])
+
+    def test_grant_for_a_term_that_was_synced_by_an_earlier_process_tells_of_none_before(self) -> None:
+        self.parts.memory.term = term(4)
+        self.assertEqual([each.previous for each in self.request(number=4)], [4])
+
     def test_repeated_request_waits_for_the_same_sync(self) -> None:
         self.ask(number=4)
         self.ask(number=4)
@@ -327,11 +338,27 @@
         self.parts.actions()
         self.grant("c")
         self.assertTrue(self.holder.holds(NOW))
-        self.assertEqual(self.parts.actions(), [LeaseGained(self.holder.term)])
+        self.assertEqual(self.parts.actions(), [LeaseGained(self.holder.term, frozenset())])
         self.assertTrue(self.parts.context.announce)
         self.grant("a")
         self.assertEqual(self.parts.actions(), [], "gained once")
 
+    def test_noted_edges_are_known_where_nobody_led_since(self) -> None:
+        self.parts.memory.holders = RateLeaseHolders(3, frozenset("x"))
+        for previous, known in (((3, 2), frozenset("x")), ((2, 3), frozenset("x")), ((2, 2), None), ((3, 4), None)):
+            with self.subTest(previous=previous):
+                self.parts.memory.term = term(self.holder.term + 1)
+                self.holder.tick()
+                for acceptor, number in zip("bc", previous, strict=True):
+                    grant = pb.LeaseGrant(
+                        epoch=EPOCH, term=self.holder.term, stamp=NOW, boot=OWN_BOOT, previous=number
+                    )
+                    self.holder.on_grant(identity(acceptor), grant)
+                gained = [each for each in self.parts.actions() if isinstance(each, LeaseGained)]
+                self.assertEqual(gained, [LeaseGained(self.holder.term, known)])
+                self.holder.give_up()
+                self.holder.not_before = 0.0
+
     def test_counts_from_the_request_of_the_slowest_of_a_majority(self) -> None:
         self.holder.tick()
         self.grant("a", NOW)
--- a/tests/fleet/test_planted_requests.py
+++ b/tests/fleet/test_planted_requests.py
@@ -139,7 +139,7 @@
 
 
 def admit(message: Any, now: float = NOW, **changes: Any) -> Any:
-    return InForce(configuration(**changes), 1).admit(message, 1, now, lambda: 0.0)
+    return InForce(configuration(**changes), 1).admit(message, 1, now, lambda route: 0.0)
 
 
 def admitted(path: str = "/plain/1", *headers: tuple[bytes, bytes]) -> Admitted:
@@ -1412,7 +1412,7 @@
         self.assertLess(ranks[0, 1], ranks[1, 1], "the tenant's comes first")
 
     def test_admitted_by_the_configuration_in_force(self) -> None:
-        found = InForce(configuration(), 9).admit(Message("/again/1"), 1, NOW, lambda: 0.0)  # type: ignore[arg-type]
+        found = InForce(configuration(), 9).admit(Message("/again/1"), 1, NOW, lambda route: 0.0)  # type: ignore[arg-type]
         assert isinstance(found, Admitted)
         self.assertEqual((found.sequence, found.repeatable, found.service, found.key), (9, True, "svc", "k1"))
         self.assertEqual((found.host, found.path), ("app.example", "/again/1"))
--- a/tests/fleet/test_quota_sum.py
+++ b/tests/fleet/test_quota_sum.py
@@ -28,7 +28,7 @@
 class ForgetfulService(QuotaService):
     """Planted: a new leader takes it that no leases run."""
 
-    def lease_gained(self, now: float, term: int) -> None:
+    def lease_gained(self, now: float, term: int, holders: frozenset[str] | None = None) -> None:
         self._term = term
         self._issuer.lease_gained(now, now, now)
 
@@ -42,9 +42,19 @@
 
     def trouble() -> None:
         edge = draw.choice(world.edges)
-        kind = draw.choice(("lead", "lead", "stop", "cut", "cut", "freeze", "restart", "demand", "demand", "rest"))
+        kind = draw.choice((
+            "lead", "lead", "again", "stop", "power", "power", "cut", "cut", "freeze", "restart", "demand", "demand",
+            "rest",
+        ))
         if kind == "lead":
             world.lead(draw.randrange(4), draw.choice((0.0, 0.0, 0.05)))
+        elif kind == "again":
+            world.lead(max(world.leading, key=world.leading.__getitem__, default=0))
+        elif kind == "power":
+            last = max(world.leading, key=world.leading.__getitem__, default=0)
+            world.lose_power(edges=draw.random() < 0.6)
+            back = draw.choice((last, last, last, draw.randrange(4)))
+            events.at(events.now + draw.uniform(0.2, 2.0), lambda: world.lead(back))
         elif kind == "stop":
             world.stop_leading()
             events.at(events.now + draw.uniform(0.3, 4.0), lambda: world.lead(draw.randrange(4)))
@@ -72,6 +82,13 @@
     events.run(TROUBLED_S)
 
 
+class CarelessWorld(World):
+    """Planted: a note is relied on that lacks edges to which others have granted leases since; they are cut off."""
+
+    def holders_known(self, core: int) -> frozenset[str] | None:
+        return frozenset(edge.name for edge in self.edges if edge.cut_until <= self.events.now)
+
+
 def cut_and_press(world: World) -> None:
     """Half of the edges are cut off with their leases while the leader changes, and all are pressed."""
     world.lead(0)
@@ -113,6 +130,31 @@
         most = most_allowed(bounds, limit)
         self.assertGreater(world.counted.worst_excess(bounds.quota_window_s, lambda _: most), 0.0)
 
+    def test_a_leader_that_knows_its_edges_goes_on_at_the_whole_rate(self) -> None:
+        again = [self.served_after_a_loss_of_power(seed, 0) for seed in range(8)]
+        self.assertGreater(min(again), 0.95, again)
+        another = [self.served_after_a_loss_of_power(seed, 1) for seed in range(8)]
+        self.assertLess(max(another), 0.8, "another machine has to wait for leases that it does not know")
+
+    def served_after_a_loss_of_power(self, seed: int, back: int) -> float:
+        """Share served from 0.6 s after a leader is back on; the rule is kept."""
+        world = World(seed, LARGE_SLACK, Limit(81_813, 81_813), sizes=(200, 543, 2_890, 9_200))
+        world.lead(0)
+        world.spread(0.7 * world.limit.rate)
+        world.events.run(12.0)
+        world.lose_power()
+        world.events.at(13.0, lambda: world.lead(back))
+        world.events.run(17.0)
+        self.assert_kept(world)
+        return world.counted.share_served(13.6, 17.0)
+
+    def test_the_check_finds_a_note_that_lacks_edges(self) -> None:
+        bounds, limit, sizes = CASES[5]
+        world = CarelessWorld(5, bounds, limit, sizes=sizes)
+        cut_and_press(world)
+        most = most_allowed(bounds, limit)
+        self.assertGreater(world.counted.worst_excess(bounds.quota_window_s, lambda _: most), 0.0)
+
     def test_a_lowered_limit_binds_and_a_raised_one_serves(self) -> None:
         low, high = Limit(10_000, 10_000), Limit(40_000, 40_000)
         for seed in range(12):
