Urgent requests first where a quota is short; edges tell their loads; metrics

Quota by urgency. Cause: where a tenant sends many times its limit its tokens went to requests in their order, so long prompts of middling worth took most of them. Change: the wallet's line is by rank of the route; a tenth of what is spent while less urgent ones wait goes to the first of these. Ruled out: strict order, under which the least urgent get nothing.

Cause: an edge's own calls at a server are too few for two choices to see where others wait. Change: edges of a zone, in a small fleet all, send datagrams with calls and unread tokens by server.

--- a/rosechute/control/core_machine.py
+++ b/rosechute/control/core_machine.py
@@ -31,7 +31,7 @@
 from .list_client import ListClient
 from .list_reader import ListReader
 from .operator_api import OperatorApi
-from .quota_service import QuotaService
+from .quota_service import QUOTA_TOKENS, QuotaService
 from .replica_runtime import TICK_S, ReplicaRuntime
 
 LOAD_RETRY_S = 0.2
@@ -103,6 +103,14 @@
         waits_s = 0.0 if pending is None else now - pending
         return core_report(self._runtime.replica, now, waits_s, self._publisher.edges_total(now))
 
+    def quota_counts(self) -> dict[str, float]:
+        """Tokens of quotas that were asked for and issued here, by kind."""
+        return self._quota.counts.of(QUOTA_TOKENS)
+
+    def rate_leases_known(self) -> bool:
+        """Whether, as the leader, it knows of all rate leases that may run."""
+        return self._quota.all_leases_known(self._clock())
+
     # What the operator's API asks
 
     def submit(self, base_version: int, version: int, body: bytes, digest: bytes) -> asyncio.Future[Outcome]:
--- a/rosechute/control/quota.py
+++ b/rosechute/control/quota.py
@@ -194,6 +194,10 @@
         self._holders = LeaseHolders(now, holders)
         self._look_whether_all_known(now)
 
+    def all_leases_known(self, now: float) -> bool:
+        """Whether all rate leases that may run are known."""
+        return now >= self._known_from
+
     def holders_to_note(self, now: float) -> frozenset[str] | None:
         """Names of edges that are to be noted on the disk of this machine now, before any other may be granted a
         lease; None for nothing."""
--- a/rosechute/control/quota_service.py
+++ b/rosechute/control/quota_service.py
@@ -7,11 +7,14 @@
 from rosechute.configuration.operator import Configuration, parse
 from rosechute.configuration.process import Bounds
 from rosechute.messages import distribution_pb2 as pb
+from rosechute.routing.counts import Counts
 from rosechute.routing.lease_exchange import LeaseReport
 
 from .quota import QuotaBounds, QuotaIssuer, TenantLimit, Wanted
 from .rate_leases import FULL_REACH_S, REACH_S, Holder
 
+QUOTA_TOKENS = "quota_tokens"  # the event that is counted
+
 
 class QuotaService:
     """The issuer of one core machine, under the newest configuration."""
@@ -19,6 +22,7 @@
     def __init__(self, bounds: Bounds) -> None:
         self._issuer = QuotaIssuer(_bounds(bounds))
         self._term = 0
+        self.counts = Counts()
 
     def committed(self, now: float, body: bytes) -> None:
         """A newer configuration is in force."""
@@ -32,6 +36,10 @@
         self._term = term
         self._issuer.lease_gained(now, now + FULL_REACH_S, now + REACH_S, holders)
 
+    def all_leases_known(self, now: float) -> bool:
+        """Whether all rate leases that may run are known."""
+        return self._issuer.all_leases_known(now)
+
     def holders_to_note(self, now: float) -> frozenset[str] | None:
         """Names of edges that are to be noted on the disk for this term, asked for while this machine leads."""
         return self._issuer.holders_to_note(now)
@@ -59,12 +67,15 @@
             return
         reports = [LeaseReport.of(held) for held in request.held]
         for grant in self._issuer.renew(now, Holder(request.edge, request.boot), request.request, reports):
+            self.counts.add(QUOTA_TOKENS, "deposited", grant.deposit)
             issue.granted.append(grant.message())
 
     def _issue(self, now: float, request: pb.QuotaRequest) -> pb.QuotaIssue:
         wanted = [Wanted(each.tenant, each.tokens, each.least) for each in request.wanted]
+        self.counts.add(QUOTA_TOKENS, "asked", sum(each.tokens for each in wanted))
         issue = pb.QuotaIssue(request=request.request)
         for issued in self._issuer.issue(now, request.edge, wanted):
+            self.counts.add(QUOTA_TOKENS, "issued", issued.tokens)
             issue.issued.add(
                 tenant=issued.tenant,
                 tokens=issued.tokens,
--- a/rosechute/data/plane.py
+++ b/rosechute/data/plane.py
@@ -23,6 +23,7 @@
 from rosechute.data.servers import Servers
 from rosechute.data.shutdown import Shutdown
 from rosechute.data.traffic_split import SplitSequences
+from rosechute.routing.counts import Counts
 from rosechute.routing.model import AttemptResult, ServerEntry
 
 OTHER_PLANES_MB = 36  # memory of the program beyond the data plane's own
@@ -34,6 +35,7 @@
 NEWEST_WITHIN_S = 1.0  # without a confirmation for so long there may be a newer configuration; one is due every 0.4 s
 STARTS_WITHIN_S = 2.0  # after a start of everything at once, configuration and lists are here within so long
 UNREADY_RETRY_S = 0.35  # when to come back at the earliest where they are not
+REQUESTS, TURNED_AWAY = "requests", "turned_away"  # events that are counted
 RETRY_SPREAD = 0.15  # part of such a time by which clients are spread
 
 
@@ -48,6 +50,7 @@
         self.loop = loop
         self._settings, self._quota, self._freshness, self._draw = settings, quota, freshness, draw
         self._splits = SplitSequences(draw)
+        self.counts = Counts()
         self._clock = clock  # the loop's clock, read anew: the loop's own time stands still while a turn lasts
         shares = _descriptors(settings)
         self.budget = Budget(_memory_mb(settings))
@@ -154,6 +157,7 @@
             return self._not_ready()
         admitted = in_force.admit(message, ticket, self.loop.time(), self._splits.next_point)
         if isinstance(admitted, Refusal):
+            self.counts.add(TURNED_AWAY, str(admitted.status))
             return self._refusal(admitted)
         if in_force.needs_key(admitted.route) and not self._lease_holds():
             return self._not_ready()
@@ -203,7 +207,7 @@
         if admitted.tenant is None or not admitted.cost:
             request.quota_decided(True, 0.0)
         else:
-            self._quota.spend(admitted.tenant.name, admitted.cost, request.quota_decided)
+            self._quota.spend(admitted.tenant.name, admitted.cost, request.quota_decided, admitted.priority)
 
     def submit(self, request: ClientRequest) -> None:
         """Hand it to the router."""
@@ -241,6 +245,7 @@
 
     def over(self, request: ClientRequest) -> None:
         """It is over: nothing more comes of it."""
+        self.counts.add(REQUESTS, f"{request.admitted.route.route_type} {request.outcome}")
         self._dispatcher.over(request)
         self.front.over(request)
 
--- a/rosechute/data/request.py
+++ b/rosechute/data/request.py
@@ -29,6 +29,9 @@
 FRESH_S = 0.02  # a request that was read so lately has a client
 
 
+CLIENT_LEFT, PASSED_ON, CUT = "client_left", "passed_on", "cut"  # outcomes, beside those with a status
+
+
 class RequestContext(Protocol):
     """What a request needs of the data plane."""
 
@@ -62,13 +65,14 @@
 
     __slots__ = (
         "message", "admitted", "ticket", "state", "_context", "_loop", "_attempt", "_answer", "_silence",
-        "_may_have_run", "_last_failure", "_last_result", "_client_paused", "_ends_at", "_end_timer",
+        "_may_have_run", "_last_failure", "_last_result", "_client_paused", "_ends_at", "_end_timer", "outcome",
     )
 
     def __init__(self, context: RequestContext, message: Message, admitted: Admitted) -> None:
         self.message, self.admitted = message, admitted
         self.ticket = admitted.routing.ticket
         self.state = RequestState.QUOTA
+        self.outcome = CLIENT_LEFT  # what its client got; of use once it is over
         self._context, self._loop = context, context.loop
         self._attempt: Attempt | None = None
         self._answer = ClientAnswer(message, admitted)
@@ -410,17 +414,21 @@
             self._end_with_own(refusal.status, refusal.retry_after_s)
 
     def _end_with_own(self, status: int, retry_after_s: float = 0.0) -> None:
+        self.outcome = f"own_{status}"
         self._change(RequestState.OVER)
         self._answer.send_own(status, retry_after_s)
 
     def _end_with_reply(self, reply: Reply) -> None:
+        self.outcome = f"server_{reply.status}"
         self._change(RequestState.OVER)
         self._answer.send_whole(reply)
 
     def _end_finished(self, rest: bytes) -> None:
+        self.outcome = PASSED_ON
         self._change(RequestState.OVER)
         self._answer.finish(rest)
 
     def _end_cut(self) -> None:
+        self.outcome = CUT
         self._change(RequestState.OVER)
         self._answer.cut()
--- a/rosechute/distribution/actions.py
+++ b/rosechute/distribution/actions.py
@@ -51,4 +51,11 @@
     count: int
 
 
-Action = Send | ConfigurationChanged | ServersChanged | EdgesTotalChanged
+@dataclass(frozen=True, slots=True)
+class TellingEdgesChanged:
+    """Other edges with which this one is to exchange loads."""
+
+    addresses: dict[str, str]  # of their links, by name
+
+
+Action = Send | ConfigurationChanged | ServersChanged | EdgesTotalChanged | TellingEdgesChanged
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -24,6 +24,8 @@
 )
 from rosechute.control.core_machine import CoreMachine
 from rosechute.processes import logs
+from rosechute.processes.core_metrics import core_families
+from rosechute.processes.metrics import CORE_PORT, MetricsServer
 from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
 
@@ -40,6 +42,7 @@
         self._machine = CoreMachine(settings, state.add_to)
         self._watch = SettingsWatch(settings, path, self._machine.change_settings)
         state.add("core", self._machine.report)
+        self._metrics = MetricsServer(settings.ip, CORE_PORT, core_families(self._machine))
         self._ends = asyncio.Event()
 
     async def run(self) -> None:
@@ -50,12 +53,14 @@
             loop.add_signal_handler(number, self._ends.set)
         loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         await self._machine.start()
+        await self._metrics.start()
         gc.freeze()  # what is loaded by now stays: later collections needn't look at it
         gc.enable()
         logger.info("core machine {} listens at {}", self._settings.node_name, self._settings.listen.control)
         watching = asyncio.create_task(self._watch.run())
         await self._ends.wait()
         watching.cancel()
+        await self._metrics.stop()
         await asyncio.wait_for(self._machine.stop(), STOP_WITHIN_S)
 
 
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -16,9 +16,11 @@
 from rosechute.messages.framing import Kind
 from rosechute.messages.link import LinkConnection, LinkError, LinkPool, LinkServer
 from rosechute.processes.quota_client import QuotaClient
+from rosechute.routing.counts import Counts
 
 FORGET_INTERVAL_S = 5.0  # how often links that are not needed any more are looked for
 LEAST_SLEEP_S = 0.001
+BYTES_SENT = "bytes_sent"  # the event that is counted
 
 Apply = Callable[[Action], None]
 
@@ -29,6 +31,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: ProcessSettings, boot: int, apply: Apply) -> None:
         self._loop = loop
         self._apply = apply
+        self.counts = Counts()
         address = settings.edge_link_address
         edge = EdgeIdentity(settings.node_name, settings.zone, address)
         self.subscriber = Subscriber(loop.time(), edge, boot, settings.seed_peers)
@@ -68,7 +71,9 @@
         """Send a message to the leader, if one is known."""
         leader = self.subscriber.leader
         if leader is not None:
-            self._pool.send(leader, Kind.DISTRIBUTION, message.SerializeToString())
+            data = message.SerializeToString()
+            self.counts.add(BYTES_SENT, message.WhichOneof("body") or "", len(data))
+            self._pool.send(leader, Kind.DISTRIBUTION, data)
 
     def _received(self, connection: LinkConnection, kind: Kind, data: bytes) -> None:
         if kind is Kind.DISTRIBUTION:
@@ -127,6 +132,7 @@
 
     def _send(self, action: Send) -> None:
         data = action.message.SerializeToString()
+        self.counts.add(BYTES_SENT, action.message.WhichOneof("body") or "", len(data))
         connection = action.connection
         if isinstance(connection, Dialed):
             self._pool.send(connection.address, Kind.DISTRIBUTION, data)
--- a/rosechute/processes/quota_client.py
+++ b/rosechute/processes/quota_client.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable, Iterable
 
 from rosechute.messages import distribution_pb2 as pb
+from rosechute.routing.counts import Counts
 from rosechute.routing.lease_exchange import LeaseGrant
 from rosechute.routing.quota_wallet import Decided, Decision, Issue, QuotaWallet
 
 LEAST_SLEEP_S = 0.001
+QUOTA_DECISIONS = "quota_decisions"  # the event that is counted
 SEEK_S = 0.05  # how often it is looked for a leader, to report to
 
 
@@ -31,15 +33,16 @@
         self._send = send
         self._leaderless_since = leaderless_since
         self._wallet = QuotaWallet()
+        self.counts = Counts()
         self._requests = itertools.count(1)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
 
-    def spend(self, tenant: str, tokens: int, decided: Decided) -> None:
+    def spend(self, tenant: str, tokens: int, decided: Decided, priority: int = 0) -> None:
         """Take so many tokens of a limited tenant, or wait a moment for them."""
-        decisions = self._wallet.spend(self._loop.time(), tenant, tokens, decided)
+        decisions = self._wallet.spend(self._loop.time(), tenant, tokens, decided, priority)
         if decisions:
-            _tell(decisions)
+            self._tell(decisions)
         else:
             self._wake_at(self._loop.time())
         if self._timer is None:
@@ -54,9 +57,9 @@
         ]
         grants = [LeaseGrant.of(each) for each in issue.granted]
         now = self._loop.time()
-        _tell(self._wallet.issued(now, issue.request, issues))
+        self._tell(self._wallet.issued(now, issue.request, issues))
         if issue.term:
-            _tell(self._wallet.granted(now, issue.request, issue.term, grants))
+            self._tell(self._wallet.granted(now, issue.request, issue.term, grants))
         if self._wallet.waits() or issue.term:
             self._wake()
 
@@ -90,7 +93,7 @@
             self._timer = None
         now = self._loop.time()
         leaderless_s = self._leaderless_s(now)
-        _tell(self._wallet.tick(now, leaderless_s))
+        self._tell(self._wallet.tick(now, leaderless_s))
         if leaderless_s is None:
             self._ask(now)
             self._report(now)
@@ -125,7 +128,7 @@
         wanted = [pb.QuotaAmount(tenant=ask.tenant, tokens=ask.tokens, least=ask.least) for ask in asks]
         self._send(pb.Distribution(quota_request=pb.QuotaRequest(request=request, edge=self._name, wanted=wanted)))
 
-
-def _tell(decisions: Iterable[Decision]) -> None:
-    for decision in decisions:
-        decision.decided(decision.allowed, decision.retry_after_s)
+    def _tell(self, decisions: Iterable[Decision]) -> None:
+        for decision in decisions:
+            self.counts.add(QUOTA_DECISIONS, "allowed" if decision.allowed else "refused")
+            decision.decided(decision.allowed, decision.retry_after_s)
--- a/rosechute/routing/quota_wallet.py
+++ b/rosechute/routing/quota_wallet.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
+import itertools
 import math
+from bisect import insort
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from .lease_exchange import LeaseGrant, LeaseReport
@@ -29,6 +31,8 @@
 LEADERLESS_S = 2.0  # a new leader is there after so long
 RETRY_LEAST_S = 0.3  # when to come back where the leader does not answer, at the earliest
 COVERED_LEAST_S = 0.05  # the same, where its lease will cover the request
+PASSED_OVER_SHARE = 0.1  # of the tokens that are spent while less urgent requests wait, for these
+OWED_REQUESTS = 2.0  # requests, of the size of the largest one that waits, that are owed to them at the most
 AHEAD_S = 0.2  # of the present demand is asked for ahead
 AHEAD_REQUESTS = 3.0  # but only where that is several requests: tokens that are not spent are lost to the tenant
 DEMAND_SPAN_S = 1.0  # over which the demand is measured
@@ -73,6 +77,75 @@
     tokens: int
     since: float
     decided: Decided
+    priority: int
+    number: int
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The most urgent first, of these the one that came first."""
+        return self.priority, self.number
+
+
+class _Line:
+    """Requests that wait for tokens, by rank. A share of what is spent while less urgent ones wait goes to the one of
+    these that came first, so that none starves."""
+
+    def __init__(self) -> None:
+        self._by_rank: list[_Waiting] = []
+        self._numbers = itertools.count()
+        self._owed = 0.0  # tokens, to those that are passed over
+
+    def __len__(self) -> int:
+        return len(self._by_rank)
+
+    def __iter__(self) -> Iterator[_Waiting]:
+        return iter(self._by_rank)
+
+    def add(self, tokens: int, since: float, decided: Decided, priority: int) -> None:
+        """One more."""
+        waiting = _Waiting(tokens, since, decided, priority, next(self._numbers))
+        insort(self._by_rank, waiting, key=lambda each: each.rank)
+
+    def keep(self, kept: list[_Waiting]) -> None:
+        """Only these, in their order, wait on."""
+        self._by_rank = kept
+
+    def oldest(self) -> _Waiting:
+        """Who came first of all."""
+        return min(self._by_rank, key=lambda each: each.number)
+
+    def first(self) -> _Waiting:
+        """Who is to have tokens next."""
+        return self._due(self._by_rank[0].priority) or self._by_rank[0]
+
+    def _due(self, priority: int) -> _Waiting | None:
+        """Of those that are less urgent than this, the one that came first, where it is its turn."""
+        passed_over = [waiting for waiting in self._by_rank if waiting.priority > priority]
+        oldest = min(passed_over, key=lambda each: each.number, default=None)
+        return oldest if oldest is not None and self._owed >= oldest.tokens else None
+
+    def ahead_of(self, priority: int) -> int:
+        """Tokens for which those wait that would have theirs before one of this priority that comes now."""
+        ahead = sum(waiting.tokens for waiting in self._by_rank if waiting.priority <= priority)
+        due = self._due(priority)
+        return ahead + (due.tokens if due is not None else 0)
+
+    def spent(self, tokens: int, priority: int) -> None:
+        """So many tokens have gone to a request of this priority."""
+        if self._by_rank and self._by_rank[-1].priority > priority:
+            most = OWED_REQUESTS * max(waiting.tokens for waiting in self._by_rank)
+            self._owed = min(most, self._owed + PASSED_OVER_SHARE * tokens)
+
+    def take(self, waiting: _Waiting) -> None:
+        """It waits no more, as it has its tokens."""
+        if waiting is not self._by_rank[0]:
+            self._owed -= waiting.tokens
+        self.drop(waiting)
+        self.spent(waiting.tokens, waiting.priority)
+
+    def drop(self, waiting: _Waiting) -> None:
+        """It waits no more."""
+        self._by_rank.remove(waiting)
 
 
 @dataclass(slots=True)
@@ -80,7 +153,7 @@
     """Tokens and waiting requests of one tenant."""
 
     held: deque[tuple[float, int]] = field(default_factory=deque)  # (void at, tokens), oldest first
-    waiting: deque[_Waiting] = field(default_factory=deque)
+    waiting: _Line = field(default_factory=_Line)
     asked_at: float = -math.inf  # of the ask that is under way
     least: int = 0  # of the ask that is under way, or was refused last
     heard_at: float = -math.inf  # the leader answered
@@ -132,7 +205,7 @@
 
     def gives_up_at(self, leaderless_s: float | None, patience_s: float) -> float:
         """When the first request that waits is refused; `patience_s` is how long silence of a leader is borne."""
-        first = self.waiting[0]
+        first = self.waiting.oldest()
         if leaderless_s is None and self.heard_at >= first.since:
             return first.since + max(WAIT_S, patience_s)
         if self.covers_at(first.tokens) <= first.since + ACCRUAL_WAIT_S:
@@ -163,8 +236,9 @@
     def serve(self, now: float) -> list[Decision]:
         """Send those that wait, in order, as far as the tokens go."""
         decisions: list[Decision] = []
-        while self.waiting and self.total(now) >= self.waiting[0].tokens:
-            waiting = self.waiting.popleft()
+        while self.waiting and self.total(now) >= self.waiting.first().tokens:
+            waiting = self.waiting.first()
+            self.waiting.take(waiting)
             self.take(waiting.tokens)
             decisions.append(Decision(waiting.decided, True, 0.0))
         return decisions
@@ -184,19 +258,23 @@
         self.term = 0  # of the leader that answered a report last, or is followed since
         self._introduced = True  # whether that leader has answered a report
 
-    def spend(self, now: float, tenant: str, tokens: int, decided: Decided) -> list[Decision]:
-        """A request wants to be sent."""
+    def spend(self, now: float, tenant: str, tokens: int, decided: Decided, priority: int = 0) -> list[Decision]:
+        """A request wants to be sent. Where its tenant's tokens are short, the most urgent ones have theirs first; 0
+        is the highest priority."""
         state = self._tenants.get(tenant)
         if state is None:
             state = self._tenants[tenant] = _Tenant()
         state.count(now, tokens)
-        if (not state.waiting or self._leaderless) and state.total(now) >= tokens:
+        ahead = state.waiting.ahead_of(priority)
+        if (not ahead or self._leaderless) and state.total(now) >= tokens:
+            state.waiting.spent(tokens, priority)
             state.take(tokens)
             return [Decision(decided, True, 0.0)]
         refused_until = state.dry_until if tokens >= state.least else -math.inf
-        if min(refused_until, state.covers_at(tokens)) - now > WAIT_S:
-            return [Decision(decided, False, min(refused_until, state.covers_at(tokens)) - now)]
-        state.waiting.append(_Waiting(tokens, now, decided))
+        expected_at = min(refused_until, state.covers_at(ahead + tokens))
+        if expected_at - now > WAIT_S:
+            return [Decision(decided, False, expected_at - now)]
+        state.waiting.add(tokens, now, decided, priority)
         return []
 
     def ask(self, now: float, request: int) -> list[Ask]:
@@ -205,12 +283,13 @@
         for name, state in self._tenants.items():
             if not state.waiting or now < state.asked_at + self._crowded_s(ANSWER_S):
                 continue
-            if now < state.dry_until and state.waiting[0].tokens >= state.least:
+            first = state.waiting.first().tokens
+            if now < state.dry_until and first >= state.least:
                 continue
             held = state.total(now)
-            least = max(1, state.waiting[0].tokens - held)
+            least = max(1, first - held)
             wanted = sum(waiting.tokens for waiting in state.waiting) - held + state.ahead(now)
-            state.asked_at, state.least = now, state.waiting[0].tokens
+            state.asked_at, state.least = now, first
             asks.append(Ask(name, max(least, wanted), least))
         if asks:
             self._asks[request] = now
@@ -278,7 +357,8 @@
         for state in self._tenants.values():
             decisions += state.serve(now)
             while state.waiting and now >= state.gives_up_at(leaderless_s, self._crowded_s(WAIT_SILENT_S)):
-                waiting = state.waiting.popleft()
+                waiting = state.waiting.oldest()
+                state.waiting.drop(waiting)
                 retry_s = state.retry_s(now, waiting.tokens, leaderless_s)
                 decisions.append(Decision(waiting.decided, False, retry_s))
                 decisions += state.serve(now)
@@ -296,7 +376,7 @@
         for state in self._tenants.values():
             if state.waiting:
                 due = min(due, state.gives_up_at(leaderless_s, self._crowded_s(WAIT_SILENT_S)))
-                due = min(due, state.covers_at(state.waiting[0].tokens))
+                due = min(due, state.covers_at(state.waiting.first().tokens))
                 if leaderless_s is None:
                     due = min(due, max(state.asked_at + self._crowded_s(ANSWER_S), state.dry_until))
         return due
@@ -333,7 +413,7 @@
 
 def _hopeless(now: float, state: _Tenant) -> list[Decision]:
     """Requests that would not get tokens in their time are refused at once."""
-    kept: deque[_Waiting] = deque()
+    kept: list[_Waiting] = []
     decisions: list[Decision] = []
     ahead = 0
     for waiting in state.waiting:
@@ -344,5 +424,5 @@
         else:
             kept.append(waiting)
             ahead += waiting.tokens
-    state.waiting = kept
+    state.waiting.keep(kept)
     return decisions
--- a/rosechute/routing/sticky.py
+++ b/rosechute/routing/sticky.py
@@ -15,14 +15,15 @@
 from __future__ import annotations
 
 from rosechute.routing.call import Call
+from rosechute.routing.counts import Counts
 from rosechute.routing.pool import Pool
 from rosechute.routing.prefixes import PrefixTable
 from rosechute.routing.server import Server
-from rosechute.routing.tuning import RouterTuning
 
+STICKY_PICKS = "sticky_picks"  # the event that is counted
 LIKELY = 0.9  # chance that the first server in the order keeps a prefix that other edges may have sent to it
 LIKELY_SECOND = 0.3  # chance that the second one does: others go there, too, where the first is busy
-READING_WEIGHT = 4.0  # reading again also holds up what runs beside, takes the memory of other prompts, and is priced
+READING_WEIGHT = 8.0  # reading again also holds up what runs beside, takes the memory of other prompts, and is priced
 FAILING = 0.12  # share of failures from which a server is not preferred
 HOLDER_S = 0.03  # a holder other than the first server in the order must be so much better
 ORDINARY_S = 0.02  # and so must the server of the ordinary path: it adds one more holder
@@ -31,8 +32,8 @@
 class StickyPicker:
     """Names the server that most likely keeps the prompt of a request."""
 
-    def __init__(self, table: PrefixTable, tuning: RouterTuning) -> None:
-        self._table, self._tuning = table, tuning
+    def __init__(self, table: PrefixTable, counts: Counts) -> None:
+        self._table, self._counts = table, counts
 
     def pick(self, now: float, pool: Pool, call: Call, ordinary: Server) -> Server:
         """The server to use in place of the one that the ordinary path names; that one where none is better."""
@@ -41,11 +42,13 @@
         if known is not None:
             expected_s = self._expected_s(now, call, known, 0.0)
             if expected_s <= best_s:
+                self._counts.add(STICKY_PICKS, "known")
                 return known
         for server, likely in self._likely_prefix(now, pool, call):
             expected_s = self._expected_s(now, call, server, likely)
             if expected_s < best_s:
                 best, best_s = server, expected_s
+        self._counts.add(STICKY_PICKS, "ordinary" if best is ordinary else "likely")
         return best
 
     def _known_prefix(self, now: float, pool: Pool, call: Call) -> Server | None:
@@ -78,6 +81,5 @@
         kept = self._table.kept(now, prefixes, server)
         if likely and kept < prefixes[-2].tokens:
             kept += likely * (prefixes[-2].tokens - kept)
-        rate = self._tuning.prefill_tokens_per_s
         unread = max(0.0, call.request.input_tokens - kept)
-        return server.wait_s(now) + READING_WEIGHT * unread / rate
+        return server.wait_s(now) + READING_WEIGHT * unread / server.prefill_tokens_per_s
