--- a/benchmarks/policy_trials/variants.py
+++ b/benchmarks/policy_trials/variants.py
@@ -51,9 +51,6 @@
     "reading-weight-4": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "4.0", "8.0"),
     "reading-weight-16": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "16.0", "8.0"),
     "reading-weight-32": _constant(f"{ROUTING}/sticky.py", "READING_WEIGHT", "32.0", "8.0"),
-    "no-loads-told": _line(
-        "rosechute/processes/load_link.py", "if told is not None and self._router is not None:", "if False:"
-    ),
     "no-holder-preference": _constant(f"{ROUTING}/sticky.py", "HOLDER_S", "0.0", "0.03"),
     "no-ordinary-margin": _constant(f"{ROUTING}/sticky.py", "ORDINARY_S", "0.0", "0.02"),
     "no-zone-tie-break": _line(f"{ROUTING}/pick.py", "else server.latency_s + 0.002", "else server.latency_s"),
--- a/rosechute/distribution/actions.py
+++ b/rosechute/distribution/actions.py
@@ -51,11 +51,4 @@
     count: int
 
 
-@dataclass(frozen=True, slots=True)
-class TellingEdgesChanged:
-    """Other edges with which this one is to exchange loads."""
-
-    addresses: dict[str, str]  # of their links, by name
-
-
-Action = Send | ConfigurationChanged | ServersChanged | EdgesTotalChanged | TellingEdgesChanged
+Action = Send | ConfigurationChanged | ServersChanged | EdgesTotalChanged
--- a/rosechute/distribution/membership.py
+++ b/rosechute/distribution/membership.py
@@ -6,7 +6,6 @@
 
 LEASE_S = 2.0
 RENEW_INTERVAL_S = 0.4
-ALL_TOLD_MOST = 16  # edges of a fleet up to which each knows all others; in a larger one those of its zone
 SETTLE_S = 1.0  # a new leader does not know yet who lives
 
 
@@ -87,12 +86,5 @@
         """The edges of a zone that may be homes."""
         return [member.edge for member in self._members.values() if member.edge.zone == zone and not member.leaving]
 
-    def other_edges(self, now: float, zone: str) -> tuple[int, list[EdgeIdentity]]:
-        """A revision, and the edges of all other zones; 0 and none where the fleet is large, or not known yet."""
-        if not 0 < self.total(now) <= ALL_TOLD_MOST:
-            return 0, []
-        others = [member.edge for member in self._members.values() if member.edge.zone != zone]
-        return sum(self._revisions.values()), others
-
     def _changed(self, zone: str) -> None:
         self._revisions[zone] = self._revisions.get(zone, 0) + 1
--- a/rosechute/distribution/publisher.py
+++ b/rosechute/distribution/publisher.py
@@ -219,9 +219,6 @@
             if (renew.members_term, renew.members_revision) != (self._term, revision):
                 for edge in self._membership.zone_edges(renew.edge.zone):
                     answer.zone_edges.append(pb.Edge(name=edge.name, zone=edge.zone, address=edge.address))
-            answer.others_revision, others = self._membership.other_edges(now, renew.edge.zone)
-            if renew.others_revision != answer.others_revision or renew.members_term != self._term:
-                answer.other_edges.extend(pb.Edge(name=e.name, zone=e.zone, address=e.address) for e in others)
         return answer
 
     def _learn_services(self, now: float, renew: pb.Renew) -> None:
--- a/rosechute/distribution/subscriber.py
+++ b/rosechute/distribution/subscriber.py
@@ -17,7 +17,6 @@
     EdgesTotalChanged,
     Send,
     ServersChanged,
-    TellingEdgesChanged,
 )
 from rosechute.distribution.catch_up import PATIENCE_PER_EDGE_S, PATIENCE_S, CatchUp
 from rosechute.distribution.confirmation import Confirmation
@@ -26,7 +25,6 @@
 from rosechute.distribution.leader_search import LeaderSearch, SearchState
 from rosechute.distribution.membership import EdgeIdentity
 from rosechute.distribution.store import Taken, TopicStore
-from rosechute.distribution.telling_edges import TellingEdges
 from rosechute.distribution.values import (
     CONFIG_TOPIC,
     NOTHING,
@@ -58,7 +56,6 @@
         self._homes = HomeLinks(edge.name)
         self._homes.add(now, CONFIG_TOPIC)
         self._members: Position = NOTHING
-        self._telling = TellingEdges(edge.name)
         self._edges_total = 0
         self._core_digest = 0
         self._leader_term = 0
@@ -179,7 +176,6 @@
                 lists=[list_position(held.service, held.position) for held in self._store.lists()],
                 members_term=self._members[0],
                 members_revision=self._members[1],
-                others_revision=self._telling.revision,
                 leaving=self._leaving,
                 core_digest=self._core_digest,
             )
@@ -240,13 +236,10 @@
         for topic, position in told_positions(answer).items():
             self._homes.add(now, topic)
             self._told(now, topic, position, address)
-        changes: list[Action] = []
-        if self._telling.told(answer):
-            changes.append(TellingEdgesChanged(self._telling.addresses()))
         if answer.edges_total and answer.edges_total != self._edges_total:
             self._edges_total = answer.edges_total
-            changes.append(EdgesTotalChanged(answer.edges_total))
-        return changes
+            return [EdgesTotalChanged(answer.edges_total)]
+        return []
 
     def _told(self, now: float, topic: str, position: Position, source: str) -> None:
         """Somebody holds this position; where it is newer, the home has a short time to bring it."""
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -28,19 +28,11 @@
     split_address,
 )
 from rosechute.data.plane import DataPlane
-from rosechute.distribution.actions import (
-    Action,
-    ConfigurationChanged,
-    EdgesTotalChanged,
-    ServersChanged,
-    TellingEdgesChanged,
-)
-from rosechute.distribution.load_exchange import LoadExchange
+from rosechute.distribution.actions import Action, ConfigurationChanged, EdgesTotalChanged, ServersChanged
 from rosechute.distribution.values import ListedServer
 from rosechute.processes import logs
 from rosechute.processes.edge_links import EdgeLinks
 from rosechute.processes.edge_metrics import edge_families
-from rosechute.processes.load_link import LoadLink
 from rosechute.processes.metrics import EDGE_PORT, MetricsServer
 from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
@@ -63,11 +55,9 @@
         self._links = EdgeLinks(loop, settings, secrets.randbits(63), self._apply)
         self._failed_sequence = 0  # of a configuration that could not be read
         draw = secrets.SystemRandom().random
-        exchange = LoadExchange(settings.node_name, secrets.randbits(63))
-        self._loads = LoadLink(loop, settings.edge_link_address, exchange)
-        router = self._router = Router(draw, RouterTuning(zone=settings.zone), self._loads.changed)
+        router = Router(draw, RouterTuning(zone=settings.zone))
         self._plane = DataPlane(loop, settings, router, self._links.quota, self)
-        families = edge_families(loop, self._plane, router, self._links, self._loads)
+        families = edge_families(loop, self._plane, router, self._links)
         self._metrics = MetricsServer(settings.ip, EDGE_PORT, families)
         self._state = ProcessState(settings)
         self._state.add("distribution", self._distribution_state)
@@ -82,7 +72,6 @@
             loop.add_signal_handler(number, self.end)
         loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         runner = await self._listen_readiness()
-        await self._loads.start(self._router)
         await self._metrics.start()
         await self._links.start()
         logger.info("edge {} takes clients at {}", self._settings.node_name, self._settings.listen.front)
@@ -95,7 +84,6 @@
         self._links.leave()
         await self._plane.finish_shutdown()
         self._links.close()
-        self._loads.close()
         await self._metrics.stop()
         await runner.cleanup()
 
@@ -134,8 +122,6 @@
                 self._plane.apply_servers(service, [_entry(server) for server in servers])
             case EdgesTotalChanged(count=count):
                 self._plane.apply_edges(count)
-            case TellingEdgesChanged(addresses=addresses):
-                self._loads.set_peers(addresses)
 
     def _apply_configuration(self, change: ConfigurationChanged) -> None:
         """A configuration that can't be read is not in force, so nothing is confirmed from there on."""
--- a/rosechute/processes/edge_metrics.py
+++ b/rosechute/processes/edge_metrics.py
@@ -7,7 +7,6 @@
 
 from rosechute.data.plane import REQUESTS, TURNED_AWAY, DataPlane
 from rosechute.processes.edge_links import BYTES_SENT, EdgeLinks
-from rosechute.processes.load_link import LoadLink
 from rosechute.processes.metrics import Family, Values, by_kind, single
 from rosechute.processes.quota_client import QUOTA_DECISIONS
 from rosechute.routing.router import ATTEMPTS, PROMPT_TOKENS, REFUSALS, Router
@@ -15,7 +14,7 @@
 
 
 def edge_families(
-    loop: asyncio.AbstractEventLoop, plane: DataPlane, router: Router, links: EdgeLinks, loads: LoadLink
+    loop: asyncio.AbstractEventLoop, plane: DataPlane, router: Router, links: EdgeLinks
 ) -> list[Family]:
     """The figures of one edge process."""
     subscriber = links.subscriber
@@ -51,7 +50,7 @@
         Family("quota_decisions_total", "Requests of limited tenants, by whether they had their tokens.",
                ("decision",), by_kind(lambda: links.quota.counts.of(QUOTA_DECISIONS))),
         Family("sent_bytes_total", "Bytes of messages to other processes of the fleet, by purpose.", ("purpose",),
-               by_kind(lambda: {**links.counts.of(BYTES_SENT), **loads.counts.of(BYTES_SENT)})),
+               by_kind(lambda: links.counts.of(BYTES_SENT))),
         Family("edges", "Living edges, as the leader told; 0 while unknown.", (),
                single(lambda: subscriber.edges_total)),
         Family("leader_term", "Highest term of a leader that answered.", (), single(lambda: subscriber.leader_term)),
--- a/rosechute/routing/call.py
+++ b/rosechute/routing/call.py
@@ -16,7 +16,7 @@
         self, server: Server, sent_at: float, trial: bool, tokens: int, tokens_before: int, target_s: float
     ) -> None:
         self.server, self.sent_at, self.trial, self.target_s = server, sent_at, trial, target_s
-        self.tokens = tokens  # of its prompt that the server is to read, as far as known here
+        self.tokens = tokens  # of its prompt that the server is to read
         self.tokens_before = tokens_before  # that it is to read up to the end of this prompt, as far as known here
         self.headed = False  # the head of its answer has come
 
--- a/rosechute/routing/pool.py
+++ b/rosechute/routing/pool.py
@@ -12,7 +12,6 @@
 import xxhash
 
 from rosechute.routing.draw_set import DrawSet
-from rosechute.routing.load_book import LoadBook
 from rosechute.routing.model import CloseIdle, RoutingAction, ServerEntry
 from rosechute.routing.rendezvous import Rendezvous
 from rosechute.routing.server import Server
@@ -24,9 +23,8 @@
 class Pool:
     """Servers of one service."""
 
-    def __init__(self, draw: Callable[[], float], tuning: RouterTuning, loads: LoadBook) -> None:
+    def __init__(self, draw: Callable[[], float], tuning: RouterTuning) -> None:
         self._draw, self._tuning = draw, tuning
-        self.loads = loads
         self.servers: dict[str, Server] = {}
         self.share = 1
         self.edges = 1
@@ -65,8 +63,7 @@
         return actions
 
     def _add(self, now: float, entry: ServerEntry) -> None:
-        seed = xxhash.xxh64_intdigest(entry.id.encode())
-        server = Server(entry, self._tuning, self._draw, seed, self.loads)
+        server = Server(entry, self._tuning, self._draw, xxhash.xxh64_intdigest(entry.id.encode()))
         server.start(self.share, self.edges, self._tuning)
         self.servers[server.id] = server
         self.refresh(now, server)
@@ -87,11 +84,6 @@
             self.refresh(now, server)
         self._count_up()
 
-    @property
-    def silent_edges(self) -> int:
-        """Other edges that don't tell their loads here."""
-        return max(0, self.edges - 1 - self.loads.telling)
-
     def _count_up(self) -> None:
         self.up = sum(server.up for server in self.servers.values())
         self.live = sum(server.up and server.k > 0 for server in self.servers.values())
--- a/rosechute/routing/pressure.py
+++ b/rosechute/routing/pressure.py
@@ -92,7 +92,7 @@
         Args:
             took_s: Since the request was sent.
             tokens: That the server had to read of it.
-            tokens_before: The same, with what it had to read of earlier requests from here and from edges that told.
+            tokens_before: The same, with what it had to read of earlier requests from here.
             target_s: In which the answer was wanted.
         """
         self._unread -= tokens
@@ -123,10 +123,10 @@
         return ahead * self._holding_s / max(1, self._out)
 
     def wait_at_s(self, now: float, server: Server, pool: Pool) -> float:
-        """How long a request sent to a server now would wait there. What edges have sent that don't tell it follows
-        from how late its heads came, which is old, and from what servers are to read of own requests, which is vague:
-        the mean of both."""
-        others_s = self._unread * pool.silent_edges / (self._rate * max(1, pool.up))
+        """How long a request sent to a server now would wait there. What others have sent follows from how late its
+        heads came, which is old, and from what servers are to read of own requests, which is vague: the mean of
+        both."""
+        others_s = self._unread * (pool.edges - 1) / (self._rate * max(1, pool.up))
         return server.owed_s(now) + 0.5 * (server.late_s(now) + others_s)
 
     def easy(self, now: float, wait_s: float, priority: int, target_s: float) -> bool:
--- a/rosechute/routing/router.py
+++ b/rosechute/routing/router.py
@@ -8,11 +8,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from rosechute.routing.call import Attempt, Call
 from rosechute.routing.counts import Counts
-from rosechute.routing.load_book import LoadBook, ServerLoad
 from rosechute.routing.model import (
     AttemptResult,
     Reject,
@@ -52,18 +51,13 @@
     Args:
         draw: Random numbers from 0 up to 1.
         tuning: Constants.
-        load_changed: Called when `own_loads` has changed by more than a call that has ended.
     """
 
-    def __init__(
-        self, draw: Callable[[], float], tuning: RouterTuning, load_changed: Callable[[], None] = lambda: None
-    ) -> None:
+    def __init__(self, draw: Callable[[], float], tuning: RouterTuning) -> None:
         self._draw, self._tuning = draw, tuning
         self._picker = Picker(draw, tuning.zone)
         self._table = PrefixTable(tuning.prefix_entries, tuning.session_entries, tuning.prefix_idle_s)
-        self._loads = LoadBook()
         self.counts = Counts()
-        self._load_changed = load_changed
         self._sticky = StickyPicker(self._table, self.counts)
         self._services: dict[str, Service] = {}
         self._calls: dict[Ticket, Call] = {}
@@ -94,22 +88,6 @@
         for service in self._services.values():
             service.budget.bound(*self._retry_limits)
 
-    def apply_telling_edges(self, edges: Collection[str]) -> None:
-        """These other edges tell their loads here."""
-        self._loads.keep(edges)
-
-    def take_loads(self, now: float, edge: str, loads: Iterable[ServerLoad]) -> None:
-        """Another edge has told what it has at servers."""
-        self._loads.take(now, edge, loads)
-
-    def own_loads(self) -> list[ServerLoad]:
-        """What this edge has at servers, for others: where the most is unread first."""
-        loads = [
-            ServerLoad(server.seed, server.prefill_tokens, server.in_flight)
-            for service in self._services.values() for server in service.pool.servers.values() if server.in_flight
-        ]
-        return sorted(loads, key=lambda load: load.unread_tokens, reverse=True)
-
     def forget_services(self, now: float, keep: Collection[str]) -> list[RoutingAction]:
         """Drop the services that no route leads to. Requests that are out go on; those that wait are refused."""
         actions: list[RoutingAction] = []
@@ -123,7 +101,7 @@
         known = self._services.get(name)
         if known is None:
             budget = RetryBudget(*self._retry_limits)
-            known = self._services[name] = Service(self._draw, self._tuning, budget, self._loads)
+            known = self._services[name] = Service(self._draw, self._tuning, budget)
         return known
 
     # --- requests
@@ -186,7 +164,6 @@
                 excess_s = service.pressure.headed(took_s, attempt.tokens, attempt.tokens_before, attempt.target_s)
             attempt.server.headed(now, took_s, excess_s, attempt.trial, attempt.tokens)
             attempt.headed = True
-            self._load_changed()
 
     def _end(
         self, now: float, service: Service | None, call: Call, attempt: Attempt, result: AttemptResult
@@ -198,8 +175,6 @@
         attempt.server.ended(now, attempt.sent_at, result, attempt.trial, attempt.headed, attempt.tokens)
         self.counts.add(ATTEMPTS, result.value)
         call.attempt = None
-        if not attempt.headed:
-            self._load_changed()
         if call.prefixes and result in LOST:
             self._table.drop(call.prefixes, attempt.server)
         call.runs += result in MAY_HAVE_RUN
@@ -389,12 +364,11 @@
         if not call.sent:
             service.pressure.served(now, call.request.route)
         service.pressure.sent(tokens)
-        call.attempt = Attempt(server, now, trial, tokens, server.unread_tokens(now), call.request.target_s)
+        call.attempt = Attempt(server, now, trial, tokens, server.prefill_tokens, call.request.target_s)
         call.tried.append(server)
         call.sent += 1
         self.counts.add(PROMPT_TOKENS, "read", tokens)
         self.counts.add(PROMPT_TOKENS, "kept", call.request.input_tokens - tokens)
-        self._load_changed()
         service.pool.refresh(now, server)
         return Send(call.request.ticket, server.id, server.address, trial)
 
--- a/rosechute/routing/server.py
+++ b/rosechute/routing/server.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from dunefield.backoff import Backoff
-from rosechute.routing.load_book import LoadBook
 from rosechute.routing.model import AttemptResult, ServerEntry
 from rosechute.routing.tuning import RouterTuning
 
@@ -21,7 +20,6 @@
 EXCESS_MEMORY_S = 2.0  # such times fall to 1/e in so long
 SILENT_LEAST_S = 0.25  # a shorter silence says nothing
 SILENT_TIMES = 4.0  # over the usual latency from which a silence says something
-SILENT_READINGS = 2.0  # the same, over the time in which all that is known to wait there is read
 SILENT_CALLS = 4  # calls that a silent server counts as in addition
 RUNNING_S = 0.001  # by which one own request that runs there slows the reading of a further one
 LATENCY_GAIN = 0.3  # weight of one more time to the head
@@ -46,13 +44,11 @@
     __slots__ = (
         "id", "entry", "address", "zone", "slots", "ready", "listed", "cold_until", "limit", "k", "in_flight",
         "trial", "backoff", "retry_at", "failures_on_end", "heard_at", "latency_s", "prefill_tokens", "running",
-        "prefill_tokens_per_s", "loads",
+        "prefill_tokens_per_s",
         "error_rate", "error_at", "seed", "due_at", "excess_s", "excess_at", "owing_since",
     )
 
-    def __init__(
-        self, entry: ServerEntry, tuning: RouterTuning, draw: Callable[[], float], seed: int, loads: LoadBook
-    ) -> None:
+    def __init__(self, entry: ServerEntry, tuning: RouterTuning, draw: Callable[[], float], seed: int) -> None:
         self.id = entry.id
         self.seed = seed  # hash of the id, for rendezvous order
         self.listed = True
@@ -62,7 +58,6 @@
         self.in_flight = 0
         self.trial = False  # one is out
         self.prefill_tokens_per_s = tuning.prefill_tokens_per_s
-        self.loads = loads  # of other edges
         self.backoff = Backoff(
             int(tuning.backoff_first_s * NANOSECONDS), int(tuning.backoff_most_s * NANOSECONDS), draw
         )
@@ -131,25 +126,18 @@
         return repeatable or now >= self.retry_at + UNREPEATABLE_AFTER_S
 
     def load(self, now: float) -> float:
-        """Own calls in flight. Exception "loads told": calls of the edges that tell theirs, too. Exception "long
-        prompts": the tokens that are still to be read count as calls of the usual length. A server that is slow from
-        its start counts as one call more, one that has been silent for far longer than it takes otherwise as several.
-        """
-        tokens, calls = self.loads.at(now, self.seed)
+        """Own calls in flight. Exception "long prompts": the tokens that are still to be read count as calls of the
+        usual length. A server that is slow from its start counts as one call more, one that has been silent for far
+        longer than it takes otherwise as several."""
         more = (now < self.cold_until) + self.silent(now) * SILENT_CALLS
-        return self.in_flight + calls + (self.prefill_tokens + tokens) / TOKENS_OF_A_CALL + more
-
-    def unread_tokens(self, now: float) -> int:
-        """What it is still to read, of own requests and of those of edges that tell theirs."""
-        return self.prefill_tokens + self.loads.at(now, self.seed)[0]
+        return self.in_flight + self.prefill_tokens / TOKENS_OF_A_CALL + more
 
     def silent(self, now: float) -> bool:
         """Whether it has been silent for far longer than it takes otherwise, and than its reading explains."""
         silence_s = self.silence_s(now)
         if silence_s < SILENT_LEAST_S:
             return False
-        reading_s = self.unread_tokens(now) / self.prefill_tokens_per_s
-        return silence_s > max(SILENT_TIMES * self.latency_s, SILENT_READINGS * reading_s)
+        return silence_s > SILENT_TIMES * max(self.latency_s, self.prefill_tokens / self.prefill_tokens_per_s)
 
     def silence_s(self, now: float) -> float:
         """How long it has owed the head of an answer without sending any."""
@@ -163,8 +151,8 @@
         return self.owed_s(now) + self.late_s(now) + self.running * RUNNING_S
 
     def owed_s(self, now: float) -> float:
-        """How long it takes to read what is known to be sent there, or how long it has been silent."""
-        return max(self.unread_tokens(now) / self.prefill_tokens_per_s, self.silence_s(now))
+        """How long it takes to read what own requests have sent there, or how long it has been silent."""
+        return max(self.prefill_tokens / self.prefill_tokens_per_s, self.silence_s(now))
 
     def late_s(self, now: float) -> float:
         """By how much heads came later of late than own requests explain."""
--- a/rosechute/routing/service.py
+++ b/rosechute/routing/service.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 
-from rosechute.routing.load_book import LoadBook
 from rosechute.routing.model import Ticket
 from rosechute.routing.pool import Pool
 from rosechute.routing.pressure import Pressure
@@ -16,10 +15,8 @@
 class Service:
     """One service: its servers, the requests that wait for them, its pressure and its retry budget."""
 
-    def __init__(
-        self, draw: Callable[[], float], tuning: RouterTuning, budget: RetryBudget, loads: LoadBook
-    ) -> None:
-        self.pool = Pool(draw, tuning, loads)
+    def __init__(self, draw: Callable[[], float], tuning: RouterTuning, budget: RetryBudget) -> None:
+        self.pool = Pool(draw, tuning)
         self.line = WaitingLine()  # requests that were never sent
         self.repeats = WaitingLine()  # requests that wait for a server that has not failed them yet
         self.pressure = Pressure(tuning.prefill_tokens_per_s)
--- a/tests/fleet/test_processes_metrics.py
+++ b/tests/fleet/test_processes_metrics.py
@@ -17,11 +17,9 @@
 from rosechute.configuration.process import Listen, ProcessSettings
 from rosechute.control.core_machine import CoreMachine
 from rosechute.data.plane import DataPlane
-from rosechute.distribution.load_exchange import LoadExchange
 from rosechute.processes.core_metrics import core_families
 from rosechute.processes.edge_links import EdgeLinks
 from rosechute.processes.edge_metrics import edge_families
-from rosechute.processes.load_link import LoadLink
 from rosechute.processes.metrics import CORE_PORT, EDGE_PORT, PATH, Family, MetricsServer, render, single
 from rosechute.routing.counts import Counts
 from rosechute.routing.model import PromptPart, RoutingRequest, ServerEntry
@@ -86,10 +84,9 @@
         loop = asyncio.get_running_loop()
         router = Router(random.random, RouterTuning())
         links = EdgeLinks(loop, settings(), 1, lambda action: None)
-        loads = LoadLink(loop, "127.0.0.1:1", LoadExchange("n", 1))
         freshness: Any = SimpleNamespace(confirmed_at=lambda: 0.0)
         plane = DataPlane(loop, settings(), router, links.quota, freshness)
-        families = edge_families(loop, plane, router, links, loads)
+        families = edge_families(loop, plane, router, links)
         self.check(families)
         router.apply_limits(0.0, "llm", 10, 1)
         router.apply_servers(0.0, "llm", [ServerEntry("i", "a:1", "z", 8, True)])
--- a/tests/fleet/test_routing_prefixes.py
+++ b/tests/fleet/test_routing_prefixes.py
@@ -7,7 +7,6 @@
 import unittest
 from collections import Counter
 
-from rosechute.routing.load_book import LoadBook
 from rosechute.routing.model import AttemptResult, PromptPart, RoutingRequest, Send, ServerEntry
 from rosechute.routing.prefixes import HOLDERS_MOST, PrefixTable, prefixes_of
 from rosechute.routing.rendezvous import ALL, Rendezvous
@@ -20,7 +19,7 @@
 
 def server(number: int) -> Server:
     entry = ServerEntry(f"i-{number:x}", f"10.0.0.{number}:80", "east", 64, True)
-    return Server(entry, TUNING, random.random, random.Random(number).getrandbits(64), LoadBook())
+    return Server(entry, TUNING, random.random, random.Random(number).getrandbits(64))
 
 
 def parts(subject: str, own: str, shared_tokens: int = 4_000) -> tuple[PromptPart, ...]:
