--- a/rosechute/routing/sticky.py
+++ b/rosechute/routing/sticky.py
@@ -23,7 +23,7 @@
 STICKY_PICKS = "sticky_picks"  # the event that is counted
 LIKELY = 0.9  # chance that the first server in the order keeps a prefix that other edges may have sent to it
 LIKELY_SECOND = 0.3  # chance that the second one does: others go there, too, where the first is busy
-READING_WEIGHT = 8.0  # reading again also holds up what runs beside, takes the memory of other prompts, and is priced
+READING_WEIGHT = 4.0  # reading again also holds up what runs beside, takes the memory of other prompts, and is priced
 FAILING = 0.12  # share of failures from which a server is not preferred
 HOLDER_S = 0.03  # a holder other than the first server in the order must be so much better
 ORDINARY_S = 0.02  # and so must the server of the ordinary path: it adds one more holder
