--- a/review/standins.py
+++ b/review/standins.py
@@ -239,6 +239,13 @@
         }
 
 
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Read the head of a request or answer; return its first line, and its headers by lower-case name."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    pairs = (line.partition(":") for line in lines if line)
+    return first, {name.strip().lower(): value.strip() for name, _, value in pairs}
+
+
 async def _is_ready(ip: str) -> bool:
     """Return whether a readiness check is answered 200 within half a second."""
     try:
