--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,7 +101,7 @@
         try:
             while await self._answer(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shlex
+import shutil
 import socket
 import sys
 import tempfile
@@ -170,6 +171,7 @@
                 node.process.kill()
                 await node.process.wait()
         await self.platform.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def until(self, condition: Callable[[], bool], within_s: float, what: str) -> None:
         """Wait for a condition; raise `CannotRunError` if it does not come in time."""
