Streams without a length are no longer cut where their last blank line arrives alone

Cause: such an answer is complete if its server closes between two events. ClientResponse judged that by the last three bytes of the last piece that it had read, not of the stream. A last piece of one line feed doesn't end with a blank line.

Change: EventBoundary follows the lines across pieces and tells whether an event has begun that no blank line has ended. Streams that may be resumed ask it too: there a second blank line or a comment in a piece of its own, after the last event, was taken for the start of an event. No special case; a close inside an event is an interruption as before.

--- a/rosechute/data_plane/client_response.py
+++ b/rosechute/data_plane/client_response.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 
 from rosechute.data_plane.admission import AdmittedRequest
+from rosechute.data_plane.event_boundary import EventBoundary
 from rosechute.data_plane.event_stream import VERSIONS, BrokenStreamError, EventStream
 from rosechute.data_plane.request_headers import REQUEST_ID
 from rosechute.data_plane.server_request import ResumePoint
@@ -22,7 +23,6 @@
 
 NOT_FORWARDED_TO_CLIENTS = HOP_BY_HOP | {b"content-length"}
 MAX_EVENT_BYTES = 256 * 1024  # maximum size of an event if only complete events are forwarded
-BLANK_LINES = (b"\n\r\n", b"\n\n")  # terminators of an event
 
 
 class ClientResponse:
@@ -32,14 +32,14 @@
         is_started: Whether the head of a forwarded response has been sent, so that the status is final.
     """
 
-    __slots__ = ("is_started", "_message", "_admitted", "_events", "_has_explicit_length", "_last_bytes")
+    __slots__ = ("is_started", "_message", "_admitted", "_events", "_has_explicit_length", "_boundary")
 
     def __init__(self, message: Message, admitted: AdmittedRequest) -> None:
         self.is_started = False
         self._message, self._admitted = message, admitted
         self._events: EventStream | None = None  # set if responses of several servers may be joined
         self._has_explicit_length = True  # whether the current server's response delimits its body
-        self._last_bytes = b""  # last bytes that were forwarded
+        self._boundary: EventBoundary | None = None  # set if only the close of its connection ends a stream
 
     # --- complete responses
 
@@ -78,6 +78,8 @@
             return False
         self.is_started = True
         self._has_explicit_length = has_explicit_length(reply)
+        if admitted.route.streaming and self._events is None and not self._has_explicit_length:
+            self._boundary = EventBoundary()
         return True
 
     def forward(self, data: bytes) -> bool:
@@ -93,7 +95,8 @@
             data = self._events.feed(data)
         if not data:
             return False
-        self._last_bytes = data[-len(BLANK_LINES[0]) :]
+        if self._boundary is not None:
+            self._boundary.feed(data)
         self._message.connection.pass_on(self._message, data)
         return True
 
@@ -105,8 +108,7 @@
         """
         if self._events is not None:
             return self._events.finish(self._has_explicit_length)
-        inside_event = self._last_bytes and not self._last_bytes.endswith(BLANK_LINES)
-        if self._admitted.route.streaming and not self._has_explicit_length and inside_event:
+        if self._boundary is not None and self._boundary.is_inside_event:
             raise BrokenStreamError("connection closed inside an event")
         return b""
 
--- a/rosechute/data_plane/event_stream.py
+++ b/rosechute/data_plane/event_stream.py
@@ -9,6 +9,8 @@
 
 import re
 
+from rosechute.data_plane.event_boundary import is_inside_event
+
 VERSIONS = b"versions"
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 _VERSION = re.compile(rb"versions:[ ]*([0-9]+)[ ]*\r?\n")
@@ -86,7 +88,7 @@
             BrokenStreamError: a close-delimited response ended inside an event.
         """
         remaining, self._partial = self._partial, b""
-        if remaining and not has_explicit_length:
+        if not has_explicit_length and is_inside_event(remaining):
             raise BrokenStreamError("connection closed inside an event")
         return self._filtered(remaining) if remaining else b""
 
