Random schedules cut responses at every byte and ask for what servers have finished

Change: heads, bodies and events are sent whole, cut at a random byte, cut before the last byte or byte by byte; streams end their lines with LF or CRLF; check_finished_responses compares what servers have finished in time with what clients got.

A planted fault shows that the new check fails.

--- a/tests/fleet/data_judges.py
+++ b/tests/fleet/data_judges.py
@@ -8,14 +8,15 @@
 import re
 from collections.abc import Callable, Iterable, Iterator
 
-from tests.fleet.data_model import EVENTS, MAX_ATTEMPTS, TIMEOUT_S, Records, Run, SentRequest
+from tests.fleet.data_model import EVENTS, GRACE_S, MAX_ATTEMPTS, TIMEOUT_S, Records, Run, SentRequest
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 UNCHANGED_HEADERS = ("x-rosechute-model", "x-rosechute-token-count", "x-rosechute-prompt-prefix")
 LATE_TIMER_S = 0.5  # specified bound for everything that has a deadline
 MAX_UPLOAD_PAUSE_S = 0.25  # longest pause of a client inside a request
 CLOCK_TOLERANCE_S = 0.05  # difference between the virtual clock and the edge's margin
-EVENT = re.compile(rb"(?:versions:(\d+)\n)?id: (\d+)\ndata: piece (\d+) of (\S+) by (\d+)\n\n")
+EVENT = re.compile(rb"(?:versions:(\d+)\r?\n)?id: (\d+)\r?\ndata: piece (\d+) of (\S+) by (\d+)(?:\n\n|\r\n\r\n)")
+DELIVERY_S = 0.1  # time in which a response that a server has sent reaches the client
 Check = Callable[[Records], Iterator[str]]
 
 
@@ -61,6 +62,33 @@
             yield f"{request.name}: {len(request.received_body)} of {len(run.body)} bytes, reset: {run.reset}"
 
 
+def check_finished_responses(records: Records) -> Iterator[str]:
+    """Check that a response that a server has finished in order, and in time, is complete at its client."""
+    for request in records.asked.values():
+        if request.disconnected_at is not None or (request.status == 200 and request.is_complete):
+            continue
+        run = _finished_run(request, records)
+        if run is not None:
+            yield (
+                f"{request.name} {request.path}: {request.status}, complete: {request.is_complete}, "
+                f"{len(request.received_body)} bytes of {run.stamp}, which has sent its whole response"
+            )
+
+
+def _finished_run(request: SentRequest, records: Records) -> Run | None:
+    """Return the execution whose response ends the request; None if it was interrupted, abandoned or late."""
+    runs, arrivals = records.runs.get(request.name, []), records.arrivals.get(request.name, [])
+    if not runs or runs[-1].at < arrivals[-1].at:
+        return None  # the data plane has abandoned the last execution for another server
+    run = runs[-1]
+    if run.response_sent_at is None or run.reset or not run.success:
+        return None
+    end = request.sent_at + min(request.deadline_s, TIMEOUT_S)
+    if records.shutdown_at is not None:
+        end = min(end, records.shutdown_at + GRACE_S)
+    return run if run.response_sent_at + records.suspended_s + LATE_TIMER_S + DELIVERY_S < end else None
+
+
 def check_at_most_once(records: Records) -> Iterator[str]:
     """Check that a non-repeatable request is executed at most once."""
     for name, runs in records.runs.items():
@@ -233,6 +261,7 @@
 CHECKS: tuple[Check, ...] = (
     check_response_origin,
     check_completeness,
+    check_finished_responses,
     check_at_most_once,
     check_not_executed_statuses,
     check_event_streams,
--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -45,6 +45,15 @@
     CLOSE_DELIMITED = "unframed"  # ends with the connection
 
 
+class Fragmentation(enum.Enum):
+    """How the bytes that a server sends are divided into pieces, which are read one by one."""
+
+    WHOLE = "whole"
+    RANDOM_BYTE = "cut at a random byte"
+    BEFORE_LAST_BYTE = "cut before the last byte"  # between the two line ends of a blank line
+    EACH_BYTE = "byte by byte"
+
+
 class Interruption(enum.Enum):
     """The point at which a server interrupts an exchange."""
 
@@ -88,6 +97,14 @@
 FAULTY_BEHAVIORS = tuple(behavior for behavior in ServerBehavior if behavior is not ServerBehavior.RESPONDS)
 EARLY_RESPONSES = (ServerBehavior.EARLY_SUCCESS, ServerBehavior.EARLY_REJECTION)
 INTERRUPTION_SHARE = 0.25  # share of interruptions in faulty behaviors; high because they have many variants
+FRAGMENTATION_WEIGHTS = {
+    Fragmentation.WHOLE: 5,
+    Fragmentation.RANDOM_BYTE: 2,
+    Fragmentation.BEFORE_LAST_BYTE: 2,
+    Fragmentation.EACH_BYTE: 1,
+}
+MAX_SINGLE_BYTES = 400  # longer data is not sent byte by byte
+LINE_ENDS = (b"\n", b"\n", b"\r\n")
 EARLY_RESPONSE_SHARE = 0.4  # share of long requests to which a server responds before it has read them
 
 
@@ -108,6 +125,8 @@
     at: float
     body: bytes = b""  # body of the complete response; empty for a stream
     is_response_sent: bool = False  # whether the complete response was sent
+    response_sent_at: float | None = None  # when it was, after the complete request was read
+    line_end: bytes = b"\n"  # of the events of a stream
     reset: bool = False
     success: bool = False
 
@@ -207,7 +226,8 @@
 def event_of(number: int, run: Run, version: int, has_version: bool) -> bytes:
     """Return one event of an execution; its first line may name the version of the weights."""
     first = f"versions:{version}\n" if has_version else ""
-    return f"{first}id: {number}\ndata: piece {number} of {run.stamp} by {version}\n\n".encode()
+    text = f"{first}id: {number}\ndata: piece {number} of {run.stamp} by {version}\n\n"
+    return text.encode().replace(b"\n", run.line_end)
 
 
 class ServerConnection:
@@ -372,7 +392,7 @@
         else:
             await self._send_plain_response(arrival, run, framing, ids, stamps, behavior, interruption)
         await self._writer.drain()
-        run.is_response_sent = True
+        run.is_response_sent, run.response_sent_at = True, self._now()
         if framing is Framing.CLOSE_DELIMITED:
             raise ConnectionError
         if behavior is ServerBehavior.DUPLICATE_RESPONSE:
@@ -429,13 +449,7 @@
         if behavior is ServerBehavior.STALLS_IN_RESPONSE:
             self._writer.write(head + wire[: len(wire) // 2])
             await self._work(arrival, 30.0)
-        if self._rng.random() < 0.2:
-            self._writer.write(head + wire[:7])
-            await self._writer.drain()
-            await self._work(arrival, self._rng.choice((0.0, 0.01, 0.2)))
-            self._writer.write(wire[7:])
-        else:
-            self._writer.write(head + wire)
+        await self._send_in_pieces(arrival, head + wire)
 
     async def _send_stream(
         self,
@@ -456,7 +470,9 @@
             await self._writer.drain()
             run.reset = True
             self._drop_connection(reset=True)
-        self._writer.write(head)
+        fragmentation = self._draw_fragmentation()
+        await self._send_in_pieces(arrival, head, fragmentation=fragmentation)
+        run.line_end = rng.choice(LINE_ENDS)
         first = int(arrival.header("last-event-id") or 0) + 1
         interrupted_at = rng.randint(first, max(first, EVENTS)) if interruption is not Interruption.NONE else 0
         stalled_at = rng.randint(first, max(first, EVENTS)) if behavior is ServerBehavior.STALLS_IN_RESPONSE else 0
@@ -477,13 +493,7 @@
                 self._drop_connection(reset=framing is Framing.CLOSE_DELIMITED or rng.random() < 0.5)
             if number == stalled_at:
                 await self._work(arrival, 30.0)
-            at = rng.randint(1, len(event) - 1) if rng.random() < 0.2 else 0
-            if at:
-                self._send_data(event[:at], framing)
-                await self._writer.drain()
-                await self._work(arrival, rng.choice((0.0, 0.01)))
-            self._send_data(event[at:], framing)
-            await self._writer.drain()
+            await self._send_in_pieces(arrival, event, framing, fragmentation)
         if interruption is not Interruption.NONE:
             run.reset = True
             await self._work(arrival, 0.01)
@@ -528,6 +538,26 @@
     def _send_data(self, data: bytes, framing: Framing) -> None:
         self._writer.write(b"%x\r\n%s\r\n" % (len(data), data) if framing is Framing.CHUNKED else data)
 
+    def _draw_fragmentation(self) -> Fragmentation:
+        return self._rng.choices(tuple(FRAGMENTATION_WEIGHTS), FRAGMENTATION_WEIGHTS.values())[0]  # type: ignore[arg-type]
+
+    async def _send_in_pieces(
+        self,
+        arrival: Arrival,
+        data: bytes,
+        framing: Framing = Framing.CLOSE_DELIMITED,
+        fragmentation: Fragmentation | None = None,
+    ) -> None:
+        """Send bytes in pieces; each is a chunk of its own if the framing is chunked."""
+        pieces = divide(data, fragmentation or self._draw_fragmentation(), self._rng)
+        pause_s = self._rng.choice((0.0, 0.01, 0.01, 0.2)) if len(pieces) == 2 else 0.0
+        for piece in pieces:
+            self._send_data(piece, framing)
+            await self._writer.drain()
+            if piece is not pieces[-1]:
+                await asyncio.sleep(0)  # lets the data plane read this piece alone
+                await self._work(arrival, pause_s)
+
     def _drop_connection(self, reset: bool | None = None) -> None:
         """Reset or close the connection."""
         if reset if reset is not None else self._rng.random() < 0.5:
@@ -548,6 +578,17 @@
         raise ConnectionError
 
 
+def divide(data: bytes, fragmentation: Fragmentation, rng: random.Random) -> list[bytes]:
+    """Divide bytes into pieces that are not empty."""
+    if fragmentation is Fragmentation.WHOLE or len(data) < 2:
+        return [data]
+    if fragmentation is Fragmentation.EACH_BYTE and len(data) <= MAX_SINGLE_BYTES:
+        return [data[at : at + 1] for at in range(len(data))]
+    is_before_last = fragmentation is Fragmentation.BEFORE_LAST_BYTE
+    at = len(data) - 1 if is_before_last else rng.randint(1, len(data) - 1)
+    return [data[:at], data[at:]]
+
+
 def framing_lines(body: bytes, framing: Framing) -> list[str]:
     if framing is Framing.LENGTH:
         return [f"Content-Length: {len(body)}"]
--- a/tests/fleet/test_data_plane_checkers.py
+++ b/tests/fleet/test_data_plane_checkers.py
@@ -15,6 +15,7 @@
 from rosechute.data_plane.admission import AdmittedRequest
 from rosechute.data_plane.attempt_outcome import AttemptOutcome
 from rosechute.data_plane.client_response import ClientResponse
+from rosechute.data_plane.event_boundary import EventBoundary
 from rosechute.data_plane.event_stream import EventStream
 from rosechute.data_plane.inactivity import InactivityWatch
 from rosechute.data_plane.plane import DataPlane
@@ -29,7 +30,7 @@
 from tests.fleet.data_schedules import play
 
 SEEDS = range(16)
-PLANTED_SEEDS = range(0, 40)  # run until one of them reveals the planted fault
+PLANTED_SEEDS = range(0, 120)  # run until one of them reveals the planted fault
 
 
 class RandomSchedulesTest(unittest.TestCase):
@@ -100,6 +101,15 @@
             mock.patch.object(ClientResponse, "truncate", lambda self: ClientResponse.finish(self, b"")),
         )
 
+    def test_end_of_stream_is_judged_by_its_last_piece(self) -> None:
+        def feed(self: EventBoundary, data: bytes) -> None:
+            self.is_inside_event = not data.endswith((b"\n\n", b"\n\r\n"))
+
+        self.assert_detected(
+            data_judges.check_finished_responses,
+            mock.patch.object(EventBoundary, "feed", feed),
+        )
+
     def test_possibly_executed_request_is_retried(self) -> None:
         self.assert_detected(data_judges.check_at_most_once, self._retry_everything())
 
