A request that offers another protocol is served, with its body

Cause: the parser takes an offer for accepted: it completes the request at the end of its head and raises HttpParserUpgrade, which is no HttpParserError. The connection passed the request on without its body, and the exception ended the connection. Edge and sidecar share the code. CONNECT ended the same way behind its 405.

Change: an offer may be ignored (RFC 9110, section 7.8). A head with one is parsed again without its Upgrade line; the new parser reads the body and what follows. Checks of the head are made once, in the second pass. CONNECT is rejected with 405, Allow and an orderly close. The random schedules draw offers, Expect and TE.

--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -302,8 +302,9 @@
         assert self._parser is not None
         self._message_bytes += len(piece)
         try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserError:  # also raised for exceptions in callbacks, CONNECT and upgrades
+            while piece:
+                piece = self._parse_until_offer(piece)
+        except httptools.HttpParserError:  # also raised for exceptions in callbacks
             self._error_status = self._error_status or 400
         # Received bytes are counted, as the parser reports a header only at its end and buffers it until then.
         if self._in_head and self._message_bytes > self._limits.max_head:
@@ -318,6 +319,38 @@
             if self._active is None:
                 self._reject_input()
 
+    def _parse_until_offer(self, piece: bytes) -> bytes:
+        """Parse data up to the end of a head that offers another protocol; return the data behind it.
+
+        Raises:
+            httptools.HttpParserError: The data is invalid.
+        """
+        if self._parser is None:
+            return b""  # the connection was closed while earlier data of this piece was parsed
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade as stopped:
+            self._decline_offer()
+            return piece[stopped.args[0] :]
+        return b""
+
+    def _decline_offer(self) -> None:
+        """Parse a head that offers another protocol again, without the offer.
+
+        A server may ignore the offer (RFC 9110, section 7.8). The parser takes it for accepted: it ends the request
+        without its body, and it parses nothing that follows.
+        """
+        message, parser = self._message, self._parser
+        assert message is not None and parser is not None
+        start_line = b"%s %s HTTP/%s\r\n" % (
+            parser.get_method(),
+            message.target,
+            parser.get_http_version().encode(),
+        )
+        fields = [b"%s: %s\r\n" % pair for pair in message.headers if pair[0] != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"".join((start_line, *fields, b"\r\n")))
+
     def eof_received(self) -> None:
         """Treat the end of the input as a disconnect.
 
@@ -365,9 +398,10 @@
     # --- httptools
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, or start anew one whose head is parsed again."""
+        began = self.last_read_at if self._message is None else self._message.began
         self._message = Message(self)
-        self._message.began = self.last_read_at
+        self._message.began = began
         self._in_head = True
         self._body, self._size, self._stream = [], 0, None
 
@@ -392,6 +426,11 @@
         """
         message, parser = self._message, self._parser
         assert message is not None and parser is not None
+        if parser.get_method() == b"CONNECT":
+            self._error_status = 405  # the parser reads no request behind it
+            raise InvalidRequestError
+        if parser.should_upgrade():
+            return  # the head is parsed again, without its offer
         self._in_head = False
         lengths, codings = message.all(b"content-length"), message.all(b"transfer-encoding")
         hosts, version = len(message.all(b"host")), parser.get_http_version()
@@ -447,6 +486,8 @@
         """Complete the request; handle it now or once the ones before it are answered."""
         message, parser = self._message, self._parser
         assert message is not None and parser is not None
+        if parser.should_upgrade():
+            return  # not the end of the request: its head is parsed again, without the offer
         self._message = None
         self._message_bytes, self._in_head, self._has_request = 0, True, True
         self._owes_continue = False
@@ -479,7 +520,7 @@
             path = message.target.partition(b"?")[0]
             message.reply((200 if self._listener.service.ready() else 503) if path == b"/-/ready" else 404)
         elif message.method not in limits.methods:
-            message.reply(405, headers=[(b"Allow", b", ".join(sorted(limits.methods)))])
+            message.reply(405, headers=self._allowed_methods())
         # The client may have disconnected before its first request was read.
         elif self._has_service_request or not self.check_disconnected():
             self._has_service_request = True
@@ -490,6 +531,10 @@
                 LOG.error("clients.broken", exc_info=True)
                 message.reply(500)
 
+    def _allowed_methods(self) -> Headers:
+        """Return the header that a response with status 405 needs."""
+        return [(b"Allow", b", ".join(sorted(self._limits.methods)))]
+
     def answer(self, message: Message, status: int, body: bytes, headers: Headers) -> None:
         """Send a response with a complete body."""
         transport = self._transport
@@ -610,7 +655,8 @@
         """Respond with an error to data that can't be handled as a request."""
         transport = self._transport
         if transport is not None and not transport.is_closing():
-            transport.write(head(self._error_status, 0, [], False))
+            headers = self._allowed_methods() if self._error_status == 405 else []
+            transport.write(head(self._error_status, 0, headers, False))
             self._close_lingering()
 
     def _close_lingering(self) -> None:
--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -29,11 +29,16 @@
 LONG_RESPONSE_BYTES = 90_000  # forwarded to the client as it arrives
 GRACE_S = 6.0
 PROMPT_PREFIXES = ("a1:3,b2:4", "a1:3 ,  b2:4", "", "a1:3;q=\xe9", "a1:3,a1:3")
-CONNECTION_HEADERS = (
-    "X-Rosechute-Model",
-    "keep-alive, x-rosechute-prompt-prefix",
-    "Host",
-    "X-Rosechute-Request-Id, X-Other",
+CONNECTION_HEADERS = (  # headers that concern one connection only
+    ("Connection: X-Rosechute-Model",),
+    ("Connection: keep-alive, x-rosechute-prompt-prefix",),
+    ("Connection: Host",),
+    ("Connection: X-Rosechute-Request-Id, X-Other",),
+    ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAARAAAAA"),
+    ("Upgrade: websocket", "Connection: keep-alive, upgrade"),
+    ("Expect: 100-continue",),
+    ("Expect: 100-continue", "Connection: Upgrade", "Upgrade: h2c"),
+    ("TE: trailers", "Connection: TE"),
 )
 
 
@@ -103,7 +108,9 @@
     Fragmentation.BEFORE_LAST_BYTE: 2,
     Fragmentation.EACH_BYTE: 1,
 }
+CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
 MAX_SINGLE_BYTES = 400  # longer data is not sent byte by byte
+CONNECTION_HEADERS_SHARE = 0.2  # share of the requests of HTTP/1.1 clients
 LINE_ENDS = (b"\n", b"\n", b"\r\n")
 EARLY_RESPONSE_SHARE = 0.4  # share of long requests to which a server responds before it has read them
 
@@ -656,8 +663,8 @@
         ]
         if self._is_http10:
             lines.append("Connection: keep-alive")
-        elif rng.random() < 0.1:
-            lines.append(f"Connection: {rng.choice(CONNECTION_HEADERS)}")
+        elif rng.random() < CONNECTION_HEADERS_SHARE:
+            lines += rng.choice(CONNECTION_HEADERS)
         if rng.random() < 0.9:
             lines.append(f"X-Rosechute-Deadline-Ms: {deadline_ms}")
         else:
@@ -711,7 +718,9 @@
         """Read one response; return whether the connection can be reused."""
         loop = self._schedule.harness.loop
         try:
-            text = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            text = CONTINUE
+            while text == CONTINUE:
+                text = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         except (asyncio.IncompleteReadError, ConnectionError):
             request.response_ended_at = loop.time()
             return False
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -51,6 +51,8 @@
         (HEAD.replace(b"free", b"nosuch") % b"c" + b"\r\n", 404),
         (HEAD.replace(b"GET", b"POST") % b"m" + b"Content-Length: 0\r\n\r\n", 405),
         (POST.replace(b"POST", b"GET") + b"\r\n", 405),
+        (b"CONNECT app:1 HTTP/1.1\r\nHost: app\r\n\r\n" + HEAD % b"n" + b"\r\n", 405),
+        (POST + b"Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400),
         (POST + b"Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n", 400),
         *[
             (HEAD.replace(b": 5", b": " + text) % b"d" + b"\r\n", 400)
@@ -73,6 +75,33 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    "offer", [b"Connection: Upgrade\r\nUpgrade: h2c\r\n", b"Upgrade: x\r\nConnection: a, upgrade\r\n"]
+)
+@pytest.mark.parametrize("body", [b"", b"pass for desk 7", b"floor plan " * 50_000], ids=["none", "short", "long"])
+def test_request_that_offers_a_protocol_is_served_with_its_body(offer, body):
+    """Guards against requests that run without their body and get no response (incident of review case 1)."""
+
+    async def scenario():
+        async def echo_size(conversation: Conversation, call: Call) -> None:
+            await conversation.answer(200, b"%d" % len(call.body))
+
+        head = POST.replace(b"p1", b"offer-%d") + offer + b"Content-Length: %d\r\n\r\n" % len(body)
+        async with Server(echo_size) as server, sidecar(line("s1", server.port)) as world:
+            for number, cut in enumerate((len(head), 40, len(head) - 1, len(head) + 3, 1)):
+                client = await world.client()
+                wire = head % number + body
+                await client.send(wire[:cut])
+                await asyncio.sleep(0)
+                await client.send(wire[cut:])
+                assert (await client.answer())[::2] == (200, b"%d" % len(body)), cut
+                assert (await client.ask(rid=f"after-{number}"))[0] == 200
+                client.writer.close()
+            assert [call.body for call in server.calls[::2]] == [body] * 5
+
+    play(scenario)
+
+
 def test_error_response_is_readable_while_client_sends_a_large_body():
     """A close while data arrives resets the connection, and the client loses the response."""
 
