A resumed stream continues with any larger event id

Cause: EventStream inferred from the first ids that they rise by one, and took the sound answer of the second server for a gap. The protocol says that ids rise and that an event may carry several tokens.

--- a/rosechute/data_plane/event_stream.py
+++ b/rosechute/data_plane/event_stream.py
@@ -25,8 +25,9 @@
 class EventStream:
     """The event stream of one response, which may be joined from the responses of several servers.
 
-    Only complete events are forwarded, with increasing ids and without a gap or a repeated event where two responses
-    are joined. An incomplete event is dropped when the response that it belongs to is replaced.
+    Only complete events are forwarded, with increasing ids and without a repeated event where two responses are
+    joined. Ids may increase by any step: an event may carry several tokens. An incomplete event is dropped when the
+    response that it belongs to is replaced.
 
     Args:
         last_id: Id of the last event that the client has received; None if it has received none.
@@ -42,7 +43,6 @@
         "last_id",
         "version",
         "_number",
-        "_ids_are_consecutive",
         "_partial",
         "_has_forwarded",
         "_last_event_has_id",
@@ -54,7 +54,6 @@
         self.last_id = last_id
         self.version = version
         self._number = _as_number(last_id)
-        self._ids_are_consecutive: bool | None = None  # None until two ids have been compared
         self._partial = b""  # start of an event that is not complete yet
         self._has_forwarded = False  # whether any event has been forwarded
         self._last_event_has_id = True  # whether the last forwarded event had an id
@@ -144,10 +143,6 @@
             if self._may_repeat_events:
                 return False
             raise BrokenStreamError("event ids do not increase")
-        is_next = number == before + 1
-        if not is_next and self._may_repeat_events and self._ids_are_consecutive:
-            raise BrokenStreamError("gap between event ids")
-        self._ids_are_consecutive = is_next and self._ids_are_consecutive is not False
         self._number = number
         return True
 
--- a/tests/fleet/test_data_plane_streams.py
+++ b/tests/fleet/test_data_plane_streams.py
@@ -120,6 +120,40 @@
 
         self.run_scenario(scenario)
 
+    def test_interrupted_stream_with_uneven_ids_is_resumed(self) -> None:
+        """Guards against streams that are cut as their ids rise by more than one (incident of review case 3)."""
+
+        async def scenario() -> None:
+            ids = (1, 2, 3, 4, 9, 14, 19, 24)
+
+            def stream(then: str) -> Script:
+                async def script(conn: ServerConnection, call: Call) -> None:
+                    conn.start_stream()
+                    last_id = int(call.headers.get("last-event-id", 0))
+                    for number in ids if then == "finish" else ids[:4]:
+                        if number > last_id:
+                            conn.send_event(number)
+                            await conn.writer.drain()
+                            await asyncio.sleep(0.01)
+                    if then == "finish":
+                        conn.finish_stream()
+                    elif then == "reset":
+                        conn.reset()
+                    else:
+                        await wait_until_closed(conn, call)
+
+                return script
+
+            for then in ("reset", "silence"):
+                harness = await DataPlaneHarness().start(s1=stream(then), s2=stream("finish"))
+                for _ in range(4):
+                    response = await harness.fetch("/resume/1")
+                    self.assertEqual((response.is_complete, response.body), (True, b"".join(map(event, ids))), then)
+                self.assertTrue([call for call in harness.calls if call.headers.get("last-event-id") == "4"])
+                harness.close()
+
+        self.run_scenario(scenario)
+
     def test_resumed_stream_keeps_head_of_first_server(self) -> None:
         async def scenario() -> None:
             harness = await DataPlaneHarness().start(
