A pause of the test process no longer fails the test of late duplicates

Its servers send a duplicate 0.02 s after a response, on the clock of the machine, and the connection's quiet time was set to 0.2 s.

What is asserted is as it was.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -230,7 +230,8 @@
 
 
 def test_late_duplicate_responses_reach_no_other_call(monkeypatch):
-    monkeypatch.setattr(upstream_side, "QUIET_TIME_S", 0.2)
+    # A pause of the test process between a response and its duplicate must not use up the quiet time.
+    monkeypatch.setattr(upstream_side, "QUIET_TIME_S", 1.0)
 
     async def scenario():
         async def twice(conversation, call):
