--- a/tests/fleet/test_data_plane_streams.py
+++ b/tests/fleet/test_data_plane_streams.py
@@ -11,6 +11,7 @@
     Call,
     Client,
     DataPlaneHarness,
+    Response,
     Script,
     Server,
     ServerConnection,
@@ -154,6 +155,38 @@
 
         self.run_scenario(scenario)
 
+    def test_paused_stream_is_complete_if_the_other_server_fails(self) -> None:
+        """Guards against streams that are cut as their server pauses (second half of the note of review case 3)."""
+
+        async def scenario() -> None:
+            async def pause(conn: ServerConnection, call: Call) -> None:
+                conn.start_stream()
+                for number in range(int(call.headers.get("last-event-id", 0)) + 1, 7):
+                    await asyncio.sleep(3.4 if number == 3 else 0.05)
+                    conn.send_event(number)
+                    await conn.writer.drain()
+                conn.finish_stream()
+
+            async def decline(conn: ServerConnection, call: Call) -> None:
+                conn.reject_as_full()
+
+            async def break_off(conn: ServerConnection, call: Call) -> None:
+                conn.reset()
+
+            for fail in (decline, break_off):
+                harness = await DataPlaneHarness().start(s1=pause)
+                request = asyncio.ensure_future(harness.fetch("/resume/1"))
+                await asyncio.sleep(1.0)
+                other = Server(harness, "s2", fail)
+                await other.start()
+                harness.apply_list(harness.servers["s1"].entry, other.entry)
+                response: Response = await request
+                other.stop()
+                self.assertEqual((response.is_complete, response.body), (True, events(1, 6)), fail.__name__)
+                harness.close()
+
+        self.run_scenario(scenario)
+
     def test_resumed_stream_keeps_head_of_first_server(self) -> None:
         async def scenario() -> None:
             harness = await DataPlaneHarness().start(
