Random schedules: first attempts that last long enough for the configuration to change

Traced: the fault needs a first attempt that fails more than 0.25 s after a configuration forbade repeats, and in the model an attempt either failed within 0.03 s or lasted for seconds.

Change: one response in four takes 0.6 s before it is sent or broken off.

--- a/tests/fleet/data_model.py
+++ b/tests/fleet/data_model.py
@@ -115,6 +115,7 @@
 EVENT_ID_STEPS = (1, 1, 1, 5)  # tokens of an event; its id is the number of its last token
 CONNECTION_HEADERS_SHARE = 0.2  # share of the requests of HTTP/1.1 clients
 LINE_ENDS = (b"\n", b"\n", b"\r\n")
+WORK_S = (0.0, 0.0, 0.03, 0.6)  # time before a response; in the longest the configuration may change
 EARLY_RESPONSE_SHARE = 0.4  # share of long requests to which a server responds before it has read them
 
 
@@ -355,7 +356,7 @@
     ) -> None:
         run = self._record_run(arrival, name)
         rng = self._rng
-        await self._work(arrival, rng.choice((0.0, 0.0, 0.03)))
+        await self._work(arrival, rng.choice(WORK_S))
         if behavior is ServerBehavior.SLOW:
             await self._work(arrival, rng.uniform(0.1, 2.5))
         elif behavior is ServerBehavior.SILENT:
