Compiled modules compute as interpreted ones on arm64: no fused multiply and add

Cause: GCC on arm64 contracts a multiplication and an addition into one instruction with one rounding by default, so the compiled decisions differ in the last bit from the interpreted ones.

Change: -ffp-contract=off for every compiled module.

--- a/setup.py
+++ b/setup.py
@@ -51,6 +51,9 @@
     )
 ]
 
+# Interpreted and compiled modules must compute the same. GCC on arm64 fuses multiply and add by default.
+FLOATING_POINT_OPTION = "-ffp-contract=off"
+
 extensions = []
 compile_mode = os.environ.get("ROSECHUTE_COMPILE")
 if compile_mode in ("1", "lab"):
@@ -63,5 +66,7 @@
         )
     for group in GROUPS + ([LAB] if compile_mode == "lab" else []):
         extensions += mypycify(group, opt_level="3", debug_level="0", target_dir=".compiled.objects")
+for extension in extensions:
+    extension.extra_compile_args.append(FLOATING_POINT_OPTION)
 
 setup(ext_modules=extensions)
