--- a/rosechute/fakes/fleet/processes.py
+++ b/rosechute/fakes/fleet/processes.py
@@ -20,6 +20,7 @@
 PORT_RANGE = (7500, 7515)
 STOP_TIMEOUT_S = 10.0
 EDGE_SUBNET, CORE_SUBNET = 3, 2
+FIRST_FURTHER_SUBNET = 10  # of the second and further edges of a zone
 
 
 @dataclass(slots=True)
@@ -60,6 +61,7 @@
     """A fleet of three zones with a core process and an edge process in each.
 
     `network` is the second octet of all addresses (127.NETWORK.x.y), which keeps parallel fleets apart.
+    `memory_mb` and `max_fds` are the limits in the settings of every process. Each zone has `edges_per_zone` edges.
     """
 
     folder: Path
@@ -67,13 +69,20 @@
     cloud_api: str
     zones: tuple[str, ...] = ("north", "middle", "south")
     nodes: dict[str, FleetNode] = field(default_factory=dict)
+    memory_mb: int = 300
+    max_fds: int = 2048
+    edges_per_zone: int = 1
 
     def __post_init__(self) -> None:
         for index, zone in enumerate(self.zones, 1):
-            for role, subnet in (("core", CORE_SUBNET), ("edge", EDGE_SUBNET)):
-                name = f"{role}-{zone}"
-                ip = f"127.{self.network}.{subnet}.{index}"
-                self.nodes[name] = FleetNode(name, role, zone, ip, self.folder)
+            self._add(f"core-{zone}", "core", zone, f"127.{self.network}.{CORE_SUBNET}.{index}")
+            self._add(f"edge-{zone}", "edge", zone, f"127.{self.network}.{EDGE_SUBNET}.{index}")
+            for number in range(2, self.edges_per_zone + 1):
+                ip = f"127.{self.network}.{FIRST_FURTHER_SUBNET + number}.{index}"
+                self._add(f"edge-{zone}-{number}", "edge", zone, ip)
+
+    def _add(self, name: str, role: str, zone: str, ip: str) -> None:
+        self.nodes[name] = FleetNode(name, role, zone, ip, self.folder)
 
     def by_role(self, role: str) -> list[FleetNode]:
         """Return the processes of a role."""
@@ -164,8 +173,8 @@
             "limits": {
                 "cpu_share": 1.0,
                 "cores": 1,
-                "memory_mb": 300,
-                "max_fds": 2048,
+                "memory_mb": self.memory_mb,
+                "max_fds": self.max_fds,
                 "link_mbps": 1000.0,
                 "disk_mb": 128 if core else 0,
             },
--- a/rosechute/fakes/fleet/scene.py
+++ b/rosechute/fakes/fleet/scene.py
@@ -116,7 +116,8 @@
 class FleetDeployment:
     """A router fleet with its fake peers, in one folder and one loopback network."""
 
-    def __init__(self, folder: Path, seed: int = 1) -> None:
+    def __init__(self, folder: Path, seed: int = 1, edges_per_zone: int = 1) -> None:
+        self._edges_per_zone = edges_per_zone
         self.network = FIRST_NETWORK + os.getpid() % NETWORK_COUNT
         self.platform = PlatformList()
         self.engines: dict[str, Engine] = {}
@@ -126,7 +127,7 @@
     async def start(self) -> None:
         """Start all parts without waiting until the processes of the fleet are ready."""
         address = await self.platform.start(f"127.{self.network}.{PLATFORM_SUBNET}.1")
-        self.fleet = Fleet(self._folder, self.network, address)
+        self.fleet = Fleet(self._folder, self.network, address, edges_per_zone=self._edges_per_zone)
         for index, zone in enumerate(self.fleet.zones, 1):
             for service in (MODEL, PLAIN):
                 for number in range(SERVERS_PER_ZONE):
