Memory of clients' connections is charged as held, and bounded for all of them together

What callers saw: some hundred clients that send bodies in short chunks, or heads of many short headers, and stop, took an edge and a sidecar over memory_mb, where the platform ends the process; or nobody else was answered.

Cause: only the payload was charged to the budget, by connection. A chunk of 16 bytes took an object and a list entry; a header of 4 bytes a tuple and an entry; data read but not parsed, answers that are not read and the kernel's receive buffers were not charged at all. Once the budget was spent, nobody gave way: each body kept its smallest share. A body of 1-byte chunks took the event loop for as long as its bytes lasted.

Change: bodies are kept joined; heads, unparsed data and unsent answers are charged as well; the kernel's buffers shrink as connections come. Bodies that are forwarded while they arrive use a quarter of the connections at most, finely chunked ones take turns, framing has a limit.

--- a/rosechute/data_plane/client_listener.py
+++ b/rosechute/data_plane/client_listener.py
@@ -23,6 +23,7 @@
 CLOSING_STATUSES = frozenset({400, 408, 413, 417, 431})
 # Delay from the start of a shutdown to the first close of an idle connection; two readiness checks fail in it.
 IDLE_CLOSE_DELAY_S = 2.2
+SPENT_RETRY_AFTER_S = 1.0  # `Retry-After` while the memory for requests is spent
 KEEP_ALIVE_LIMIT_SHARE = 0.75  # above this share of the connection limit, connections close after a response
 
 Admit = Callable[[Message, int], "AdmittedRequest | Rejection"]
@@ -112,6 +113,9 @@
         if self.is_rejecting:
             reject_request(message, Rejection(503, SHUTDOWN_RETRY_AFTER_S))
             return
+        if self.listener.budget.is_spent:
+            reject_request(message, Rejection(503, SPENT_RETRY_AFTER_S))
+            return
         admitted = self._admit(message, next(self._tickets))
         if isinstance(admitted, Rejection):
             reject_request(message, admitted)
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-RECEIVE_BUFFER_BYTES = 128 * 1024  # kernel receive buffer of a connection, and so the most that one read returns
+RECEIVE_BUFFER_BYTES = 128 * 1024  # largest kernel receive buffer of a connection, and so the most one read returns
+MIN_RECEIVE_BUFFER_BYTES = 16 * 1024
+KERNEL_BUFFER_FACTOR = 2  # the kernel doubles the size that it is asked for
+UNREAD_DIVISOR = 2  # the kernel may hold this fraction of the budget in receive buffers that are not read yet
 MIN_SHARE_BYTES = (
     16 * 1024
 )  # share of one body however little is free: with less, every packet costs a turn of the event loop
@@ -14,6 +17,10 @@
 SHARE_DIVISOR = 8  # one body may hold this fraction of the free memory
 PROGRAM_MB = 28  # memory of the program without bodies: 14 MB, and allocator overhead
 MEMORY_OVERHEAD = 2  # allowance for bytes that are held twice for a moment, and for the event loop's buffers
+SPENT_SLACK_BYTES = MAX_SHARE_BYTES  # bytes over the total at which the budget counts as spent: one body's share
+RELIEF_DIVISOR = 8  # once spent, this fraction of the total is freed, so that the next bytes find room
+PIECE_BYTES = 4096  # shorter pieces of a body are joined: each object costs more than the bytes of a short one
+HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
 
 class Budget:
@@ -31,6 +38,25 @@
         """Set the memory limit, and the number of processes that share it."""
         self.total = max(1, memory_mb // processes - PROGRAM_MB) * (1 << 20) // MEMORY_OVERHEAD
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether more is held than the total allows, so that some connection has to give way."""
+        return self.used > self.total + SPENT_SLACK_BYTES
+
+    @property
+    def excess(self) -> int:
+        """Bytes to free once the budget is spent."""
+        return self.used - self.total + self.total // RELIEF_DIVISOR
+
+    def receive_buffer(self, connections: int) -> int:
+        """Return the size of the kernel's receive buffer for a connection beside so many others, in bytes.
+
+        What has arrived and was not read counts as memory of the process, so it is bounded as bodies are: a few
+        connections get much and many get little.
+        """
+        free = self.total // UNREAD_DIVISOR - connections * RECEIVE_BUFFER_BYTES * KERNEL_BUFFER_FACTOR
+        return min(RECEIVE_BUFFER_BYTES, max(MIN_RECEIVE_BUFFER_BYTES, free // SHARE_DIVISOR))
+
     def take(self, size: int) -> None:
         """Record that `size` more bytes are held."""
         self.used += size
@@ -48,11 +74,12 @@
 class Body:
     """A request body that is forwarded while it arrives. It can be sent only once: sent data is not kept."""
 
-    __slots__ = ("_budget", "_pieces", "_on_drained", "held", "length", "complete", "begun", "sink")
+    __slots__ = ("_budget", "_pieces", "_short", "_on_drained", "held", "length", "complete", "begun", "sink")
 
     def __init__(self, budget: Budget, length: int | None, on_drained: Callable[[], None]) -> None:
         self._budget = budget
         self._pieces: deque[bytes] = deque()
+        self._short = bytearray()  # short pieces at the end, joined
         self._on_drained = on_drained  # called after data was taken, so that more can be read
         self.held = 0
         self.length = length  # None with chunked transfer encoding
@@ -62,7 +89,13 @@
 
     def put(self, data: bytes) -> None:
         """Append received data."""
-        self._pieces.append(data)
+        if len(data) < PIECE_BYTES:
+            self._short += data
+            if len(self._short) >= PIECE_BYTES:
+                self._close_short()
+        else:
+            self._close_short()
+            self._pieces.append(data)
         self.held += len(data)
         self._budget.take(len(data))
         if self.sink is not None:
@@ -77,7 +110,9 @@
     def take(self) -> bytes:
         """Return the next piece of data; empty if none is available."""
         if not self._pieces:
-            return b""
+            self._close_short()
+            if not self._pieces:
+                return b""
         self.begun = True
         data = self._pieces.popleft()
         self._release(len(data))
@@ -88,8 +123,15 @@
         """Discard the rest of the body."""
         self.sink = None
         self._pieces.clear()
+        self._short = bytearray()
         self._release(self.held)
 
+    def _close_short(self) -> None:
+        """Append the joined short pieces as one piece."""
+        if self._short:
+            self._pieces.append(bytes(self._short))
+            self._short = bytearray()
+
     def _release(self, size: int) -> None:
         self.held -= size
         self._budget.give(size)
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -8,19 +8,30 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
 import httptools
 
-from rosechute.proxy.core.flow import Body, Budget, Source
+from rosechute.proxy.core.flow import HEADER_OVERHEAD_BYTES, Body, Budget, Source
 from rosechute.proxy.core.log import LOG
+from rosechute.proxy.core.shedding import Standing
 from rosechute.proxy.http1 import quick
 from rosechute.proxy.http1.message import Headers, Message, head
 
 MAX_BODY = 33 << 20  # bytes of a request's body; 32 MB are guaranteed
 STREAM_PARSE_BYTES = 64 * 1024  # bytes parsed at a time within a streamed body, where no request can begin
 MAX_HEAD = 32 * 1024  # bytes
+MAX_SIMPLE_HEAD = 8 * 1024  # bytes of a head that is parsed at once; the parser takes a longer one in pieces
+# Bytes that a body may take with its chunk sizes, extensions and trailers, for each byte of its payload, and besides.
+# A chunk of one byte has five.
+MAX_FRAMING_RATIO = 16
+MAX_FRAMING_BYTES = 64 * 1024
+# A body is finely chunked if it has this many bytes with its framing for each byte of its payload. It costs much more
+# time than another of its size, and is parsed in turns of so many bytes.
+FINE_FRAMING_RATIO = 2
+FINE_PARSE_BYTES = 16 * 1024
 MAX_DRAIN = 96 * 1024 * 1024  # bytes discarded after an error, so that the client can read the response
 PARSE_BYTES = 4096  # bytes parsed at a time: limits how many requests one read can begin
 HEAD_TIMEOUT_S = 2.4  # time for a request's head, from the connect or, for a later request, from its first byte
@@ -29,6 +40,10 @@
 MIN_BODY_RATE = 32 * 1024  # lowest accepted rate of a body, in bytes per second
 KEEPALIVE_INTERVAL_S = 1  # interval of TCP keepalive probes to a client whose body pauses
 KEEPALIVE_PROBES = 2  # unanswered TCP keepalive probes after which the connection is lost
+STALLED_S = 0.3  # a client that has sent nothing for this long in the middle of a request has stalled
+SHED_STATUS = 503  # response to a request that gives way; it promises that the request was not executed
+SHED_RETRY_AFTER = b"1"  # seconds
+CUT_STATUS = 502  # the same after a server has got a part of the request; it promises nothing
 MAX_PIPELINED = 8  # pipelined requests that are parsed ahead; further ones stay unparsed or in the kernel
 # Statuses after which the connection closes: what follows such a request is likely to be invalid, too.
 CLOSING_STATUSES = frozenset({400, 404, 405, 408, 409, 413, 417, 431})
@@ -101,6 +116,18 @@
     lingering: Queue  # closing after the last response
     paused: set[ClientConnection]  # reading is paused, so that a disconnect has to be polled for
 
+    def relieve(self) -> None:
+        """Have connections give way: the budget is spent."""
+        ...
+
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Run a callback after those of other connections, in a turn of the event loop of its own."""
+        ...
+
+    def may_stream(self) -> bool:
+        """Return whether one more body may be forwarded while it arrives, after making room for it if necessary."""
+        ...
+
     def on_connected(self, connection: ClientConnection) -> None:
         """Register a new connection."""
         ...
@@ -139,6 +166,7 @@
         current_queue: The listener's queue that holds the connection.
         accepted: When the connection was accepted.
         last_read_at: When data was last read, or when reading was last resumed.
+        last_written_at: When the client last read a part of a response that it had not kept up with.
     """
 
     def __init__(self, listener: ConnectionOwner, loop: asyncio.AbstractEventLoop) -> None:
@@ -150,10 +178,13 @@
         self._message: Message | None = None  # the request being received
         self._message_bytes = 0  # bytes received since the request began, for the limit of its head
         self._in_head = True
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
+        self._framing_bytes = 0  # bytes received for the body of the request, with its framing
+        self._unsent_bytes = 0  # bytes of responses that are charged until the kernel accepts them
         self._unparsed = b""  # data read but not parsed: enough requests are pending, or enough of a body
         self._paused = False
+        self._is_deferred = False  # reading is paused until the listener gives this connection its next turn
         self._budget = listener.budget
         self._limits = listener.limits
         self._active: Message | None = None  # the request whose response is due
@@ -166,7 +197,7 @@
         self._source: Source | None = None  # source of the streamed response
         # Whether the response is chunked, and whether the connection stays open after it.
         self._chunked = self._keep_alive = False
-        self.last_read_at = self.accepted
+        self.last_read_at = self.last_written_at = self.accepted
         self._has_request = False  # a complete request has arrived
         self._has_service_request = False  # a request other than for readiness has arrived
         self._error_status = 0  # status with which to reject the received data
@@ -194,7 +225,7 @@
                 self.abort()
             return
         if self._unparsed:
-            self._unparsed = b"".join((self._unparsed, data))
+            self._keep_unparsed(b"".join((self._unparsed, data)))
             return
         if (
             self._message_bytes
@@ -211,7 +242,7 @@
         """
         if self._pipelined or self._is_write_paused or self._waits_to_stream or self._error_status:
             return False
-        found = quick.request(data, self._limits.max_head, self._budget.share)
+        found = quick.request(data, min(self._limits.max_head, MAX_SIMPLE_HEAD), self._budget.share)
         if found is None or len(found[4]) > self._limits.max_body:
             return False
         message = Message(self)
@@ -220,33 +251,68 @@
         message.complete = True
         self._has_request = True
         if message.body:
-            self._charge(len(message.body))
+            self._charge_message(message, len(message.body))
         self._start_request(message)
         return True
 
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep data for later, in place of what was kept before."""
+        self._charge(len(data) - len(self._unparsed))
+        self._unparsed = data
+
+    def _take_unparsed(self) -> bytes:
+        """Remove and return the data that was kept."""
+        data = self._unparsed
+        self._keep_unparsed(b"")
+        return data
+
     def _parse_pieces(self, data: bytes) -> None:
         """Parse data in pieces until enough requests are pending; keep the rest."""
         at = 0
         while at < len(data) and not self._discards_input:
             if self._should_pause():
-                self._unparsed = data[at:]
+                self._keep_unparsed(data[at:])
                 self._pause()
                 return
+            if at >= FINE_PARSE_BYTES and self._is_finely_chunked():
+                self._keep_unparsed(data[at:])
+                self._defer()
+                return
             size = STREAM_PARSE_BYTES if self._stream is not None else PARSE_BYTES
             piece = data[at : at + size]
             at += size
             self._feed_parser(piece)
             if not self._in_head and self._stream is None and self._size > self._budget.share:
                 self._start_streaming()
+            if self._budget.is_spent:
+                self._listener.relieve()
         if self._should_pause():
             self._pause()
         if (self._active is None or self._stream is not None) and not self._discards_input:
             self._listener.move(self, self._idle_queue())
 
+    def _is_finely_chunked(self) -> bool:
+        """Return whether the body that is being received has many short chunks."""
+        return not self._in_head and self._framing_bytes > FINE_FRAMING_RATIO * self._size
+
+    def _defer(self) -> None:
+        """Pause reading until the listener gives this connection its next turn."""
+        self._pause()
+        self._is_deferred = True
+        self._listener.defer(self._resume_deferred)
+
+    def _resume_deferred(self) -> None:
+        """Parse the next part of a finely chunked body."""
+        self._is_deferred = False
+        if self._paused and not self._should_pause():
+            self._resume_reading()
+
     def _should_pause(self) -> bool:
         """Return whether reading should pause."""
         if self._stream is not None:
             return self._stream.held > self._budget.share
+        if self._pipelined and self._buffered_bytes > self._budget.share:
+            return True
         return len(self._pipelined) >= MAX_PIPELINED or self._is_write_paused or self._waits_to_stream
 
     def _pause(self) -> None:
@@ -258,6 +324,8 @@
 
     def _on_body_drained(self) -> None:
         """Resume reading once enough of the streamed body has been forwarded."""
+        if self._is_deferred:
+            return
         if self._paused and self._stream is not None and self._stream.held <= self._budget.share // 2:
             self._paused = False
             self._loop.call_soon(self._resume_reading)
@@ -267,7 +335,7 @@
         self.last_read_at = self._loop.time()  # the pause was not caused by the client
         if self._transport is None or self.check_disconnected():
             return  # a request that was read ahead would be sent although its client has disconnected
-        rest, self._unparsed = self._unparsed, b""
+        rest = self._take_unparsed()
         self._paused = False
         if rest:
             self._parse_pieces(rest)
@@ -284,11 +352,13 @@
             self._waits_to_stream = True
             return
         self._waits_to_stream = False
+        if not self._listener.may_stream():
+            self.shed()
+            return
         self._stream = message.stream = Body(self._budget, self._length, self._on_body_drained)
-        body, self._body = self._body, []
-        for data in body:
-            self._stream.put(data)
-        self._charge(-sum(map(len, body)))
+        body, self._body = self._body, bytearray()
+        self._stream.put(bytes(body))
+        self._charge_message(message, -len(body))
         message.came = self._loop.time()
         self._start_request(message)
 
@@ -297,10 +367,27 @@
         self._buffered_bytes += size
         self._budget.take(size)
 
+    def _charge_message(self, message: Message, size: int) -> None:
+        """Charge the budget for bytes that are held until a request has been answered."""
+        message.held += size
+        self._charge(size)
+
+    def charge_unsent(self) -> None:
+        """Charge the budget for the response bytes that the kernel has not accepted by now."""
+        unsent = self.unsent_bytes()
+        if unsent != self._unsent_bytes:
+            self.last_written_at = self._loop.time()
+            self._budget.take(unsent - self._unsent_bytes)
+            self._unsent_bytes = unsent
+            if self._budget.is_spent:
+                self._listener.relieve()
+
     def _feed_parser(self, piece: bytes) -> None:
         """Feed the parser; reject invalid data."""
         assert self._parser is not None
         self._message_bytes += len(piece)
+        if not self._in_head:
+            self._framing_bytes += len(piece)
         try:
             while piece:
                 piece = self._parse_until_offer(piece)
@@ -309,6 +396,8 @@
         # Received bytes are counted, as the parser reports a header only at its end and buffers it until then.
         if self._in_head and self._message_bytes > self._limits.max_head:
             self._error_status = self._error_status or 431
+        if self._framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._size and not self._in_head:
+            self._error_status = self._error_status or 400
         # If a request in this piece got an error response, the data behind it gets no second one.
         if self._error_status and not self._discards_input:
             if self._stream is not None:
@@ -363,6 +452,8 @@
         """Remove the connection from the listener and cancel its requests."""
         self._listener.on_disconnected(self)
         self._on_client_disconnected()
+        self._budget.give(self._unsent_bytes)
+        self._unsent_bytes = 0
 
     def _on_client_disconnected(self) -> None:
         """Cancel all requests: the client has disconnected."""
@@ -371,6 +462,7 @@
         self._parser = None  # breaks a reference cycle, so that both are freed without the garbage collector
         self._message = None
         self._unparsed = b""
+        self._body = bytearray()
         self._pipelined.clear()
         self._charge(-self._buffered_bytes)
         self._source = None
@@ -390,6 +482,7 @@
     def resume_writing(self) -> None:
         """Resume the streamed response or start the next request."""
         self._is_write_paused = False
+        self.charge_unsent()
         if self._source is not None:
             self._source.resume()
         if self._active is None:
@@ -403,7 +496,8 @@
         self._message = Message(self)
         self._message.began = began
         self._in_head = True
-        self._body, self._size, self._stream = [], 0, None
+        self._body, self._size, self._stream = bytearray(), 0, None
+        self._framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -415,6 +509,7 @@
         assert self._message is not None
         if self._in_head:
             self._message.headers.append((name.lower(), value.strip(b" \t")))  # the parser leaves trailing spaces
+            self._charge_message(self._message, len(name) + len(value) + HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Check the head.
@@ -479,8 +574,9 @@
         if self._stream is not None:
             self._stream.put(body)
         else:
-            self._body.append(body)
-            self._charge(len(body))
+            self._body += body
+            if self._message is not None:
+                self._charge_message(self._message, len(body))
 
     def on_message_complete(self) -> None:
         """Complete the request; handle it now or once the ones before it are answered."""
@@ -502,8 +598,8 @@
             self._listener.service.complete(message)
             stream.finish()
             return
-        message.body = b"".join(self._body)
-        self._body = []
+        message.body = bytes(self._body)
+        self._body = bytearray()
         if self._active is None and not self._pipelined and not self._is_write_paused:
             self._start_request(message)
         else:
@@ -543,6 +639,7 @@
         self._keep_alive = self._stays_open(message) and status not in self._limits.closing_statuses
         # Bytes are joined, here and above, because mypyc 1.19.1 leaks memory when it compiles `bytes + bytes`.
         transport.write(b"".join((head(status, len(body), headers, self._keep_alive), body)))
+        self.charge_unsent()
         self._finish_response(message, status in self._limits.closing_statuses)
 
     def _stays_open(self, message: Message) -> bool:
@@ -573,6 +670,7 @@
         """Send a part of a streamed response."""
         if message is self._active and self._transport is not None and not self._transport.is_closing():
             self._transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
+            self.charge_unsent()
 
     def end_response(self, message: Message, is_complete: bool) -> None:
         """End a streamed response.
@@ -606,7 +704,7 @@
         transport = self._transport
         assert transport is not None
         self._active = None
-        self._charge(-min(self._buffered_bytes, len(message.body)))
+        self._charge(-min(self._buffered_bytes, message.held))
         self._continue()
         if not message.complete:
             self._close_lingering()  # the rest of its body is read and discarded
@@ -655,10 +753,16 @@
         """Respond with an error to data that can't be handled as a request."""
         transport = self._transport
         if transport is not None and not transport.is_closing():
-            headers = self._allowed_methods() if self._error_status == 405 else []
+            headers = self._error_headers()
             transport.write(head(self._error_status, 0, headers, False))
             self._close_lingering()
 
+    def _error_headers(self) -> Headers:
+        """Return the headers of the response to data that can't be handled."""
+        if self._error_status == SHED_STATUS:
+            return [(b"Retry-After", SHED_RETRY_AFTER)]
+        return self._allowed_methods() if self._error_status == 405 else []
+
     def _close_lingering(self) -> None:
         """Start a lingering close: send all that is written, and discard input until the client closes.
 
@@ -667,7 +771,8 @@
         self._discards_input = True
         self._pipelined.clear()
         self._unparsed = b""
-        self._body = []
+        self._body = bytearray()
+        self._message = None
         self._charge(-self._buffered_bytes)
         if self._stream is not None:
             self._stream.drop()
@@ -698,6 +803,18 @@
         """Return whether the request being received is already forwarded, or reading is paused."""
         return self._stream is not None or self._paused
 
+    def is_deferred(self) -> bool:
+        """Return whether a finely chunked body waits for its next turn."""
+        return self._is_deferred
+
+    def is_forwarding(self) -> bool:
+        """Return whether a body that is still arriving is being forwarded."""
+        return self._stream is not None
+
+    def has_charged_unsent(self) -> bool:
+        """Return whether bytes of a response are charged to the budget."""
+        return self._unsent_bytes > 0
+
     def has_no_unread_data(self) -> bool:
         """Return whether the kernel holds no unread data.
 
@@ -730,6 +847,43 @@
         self.abort()
         return True
 
+    def standing(self, now: float) -> Standing:
+        """Return why this connection holds memory."""
+        if self._stream is not None:
+            if self._paused and not self._is_deferred:
+                return Standing.KEPT  # the server does not take the body yet
+            stalled = now - self.last_read_at >= STALLED_S
+            if self._stream.begun:
+                return Standing.STALLED_FORWARDED if stalled else Standing.ARRIVING_FORWARDED
+            return Standing.STALLED if stalled else Standing.ARRIVING
+        if self._is_write_paused or (self._unsent_bytes and now - self.last_written_at >= STALLED_S):
+            return Standing.NOT_READING
+        if self._active is None and self.is_receiving():
+            return Standing.STALLED if now - self.last_read_at >= STALLED_S else Standing.ARRIVING
+        return Standing.KEPT
+
+    def held_bytes(self) -> int:
+        """Return the number of bytes that this connection has charged to the budget."""
+        stream = self._stream.held if self._stream is not None else 0
+        return self._buffered_bytes + self._unsent_bytes + stream
+
+    def shed(self) -> None:
+        """Give way: refuse the request that is arriving, and abort the connection of a client that does not read.
+
+        The refusal promises that the request was not executed, unless a part of it was passed on.
+        """
+        if self._unsent_bytes:
+            self.abort()
+            return
+        if self._discards_input:
+            return
+        is_partly_sent = self._stream is not None and self._stream.begun
+        self._error_status = CUT_STATUS if is_partly_sent else SHED_STATUS
+        if self._active is None:
+            self._reject_input()
+        else:
+            self._abort_streamed_request()
+
     def unsent_bytes(self) -> int:
         """Return the number of response bytes that the kernel has not accepted yet."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
@@ -790,7 +944,7 @@
         message = self._active
         if message is not None:
             self._listener.service.hangup(message)
-            message.reply(self._error_status)
+            message.reply(self._error_status, headers=self._error_headers())
 
     def close(self) -> None:
         """Close the connection; abort it if the client does not read, as a regular close would never finish."""
--- a/rosechute/proxy/http1/listener.py
+++ b/rosechute/proxy/http1/listener.py
@@ -6,11 +6,14 @@
 import errno
 import select
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from rosechute.proxy.core.address import Address
-from rosechute.proxy.core.flow import RECEIVE_BUFFER_BYTES, Budget
+from rosechute.proxy.core.flow import Budget
 from rosechute.proxy.core.log import LOG
+from rosechute.proxy.core.shedding import Holding, who_gives_way, who_makes_room
+from rosechute.proxy.core.turns import TurnQueue
 from rosechute.proxy.http1.client import ClientConnection, ConnectionLimits, Queue, Service
 
 BACKLOG = 1024  # connections in the kernel's listen queue
@@ -33,6 +36,9 @@
 EVICT_SILENT_S = 0.1
 EVICT_IDLE_LAST_RESORT_S = 0.5  # the same for an idle connection, if no other connection can be closed
 EVICT_STALLED_S = 0.3  # the same for a connection that has stopped in the middle of a request
+# The same, if nothing else can be closed, for one whose request is being forwarded or that does not read.
+EVICT_FORWARDED_S = 1.0
+STREAMED_BODIES_DIVISOR = 4  # bodies that are forwarded while they arrive may use this fraction of the connections
 
 
 @dataclass(slots=True)
@@ -84,6 +90,8 @@
         self.max_connections = self._configured_limit = max_connections
         self._keep_alive_limit = keep_alive_limit
         self._evicted: set[ClientConnection] = set()  # closing to make room
+        self._turns = TurnQueue()
+        self.shed_total = 0  # connections that gave way since the start
         self._is_accept_paused = False
         self._restore_timer: asyncio.TimerHandle | None = None
         self.stopping = False
@@ -256,12 +264,18 @@
                 return None
             return True  # this client has already disconnected
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._set_receive_buffer(client_socket)
+        self._set_receive_buffer(self._socket)  # connections in the listen queue receive, too
         task = self._loop.create_task(self._create_connection(client_socket))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return True
 
+    def _set_receive_buffer(self, target: socket.socket) -> None:
+        """Limit what a connection may hold unread, by the number of those that are open."""
+        size = self.budget.receive_buffer(len(self.connections) + len(self._opening))
+        target.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     async def _create_connection(self, client_socket: socket.socket) -> None:
         """Create the transport and protocol of an accepted socket."""
         assert self._loop is not None
@@ -346,7 +360,33 @@
         for connection in _entered_before(self.lingering, now - EVICT_STALLED_S):
             self._close_evicted(connection)
             return True
-        return False
+        forwarded = who_makes_room(self._holdings(), EVICT_FORWARDED_S) or self._longest_deferred(now)
+        if forwarded is None:
+            return False
+        self._shed(forwarded)
+        self._close_evicted(forwarded)
+        return True
+
+    def _longest_deferred(self, now: float) -> ClientConnection | None:
+        """Return the connection that has been sending a finely chunked body for longest, if that is long enough."""
+        for connection in _entered_before(self.receiving, now - EVICT_FORWARDED_S):
+            if connection.is_deferred():
+                return connection
+        return None
+
+    def _holdings(self) -> list[Holding[ClientConnection]]:
+        """Return what each connection holds."""
+        assert self._loop is not None
+        now = self._loop.time()
+        return [
+            Holding(c, c.standing(now), c.held_bytes(), now - max(c.last_read_at, c.last_written_at))
+            for c in self.connections
+        ]
+
+    def _shed(self, connection: ClientConnection) -> None:
+        """Have a connection give way, and count it."""
+        self.shed_total += 1
+        connection.shed()
 
     def _close_evicted(self, connection: ClientConnection) -> None:
         """Close a connection to make room."""
@@ -356,6 +396,32 @@
 
     # --- for the connections
 
+    def relieve(self) -> None:
+        """Have connections give way until the budget is no longer spent."""
+        closed = who_gives_way(self._holdings(), self.budget.excess)
+        for connection in closed:
+            self._shed(connection)
+        if closed:
+            LOG.warning("clients.memory_spent", shed=len(closed), used=self.budget.used, total=self.budget.total)
+
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Run a callback after those of other connections, in a turn of the event loop of its own."""
+        self._turns.add(callback)
+
+    def may_stream(self) -> bool:
+        """Return whether one more body may be forwarded while it arrives, after making room for it if necessary.
+
+        Each holds a connection to a server. Those of clients that have stalled give way.
+        """
+        streaming = [one for one in self._holdings() if one.holder.is_forwarding()]
+        if len(streaming) < max(1, self.max_connections // STREAMED_BODIES_DIVISOR):
+            return True
+        stalled = who_makes_room(streaming, EVICT_STALLED_S)
+        if stalled is None:
+            return False
+        self._shed(stalled)
+        return True
+
     def exceeds_keep_alive_limit(self) -> bool:
         """Return whether connections should close after a response."""
         return len(self.connections) > self._keep_alive_limit
@@ -438,6 +504,8 @@
         for connection, since in list(self.receiving.items()):
             if connection.is_overdue(now, since) and connection.has_no_unread_data():
                 connection.time_out()
+        for connection in [c for c in self.connections if c.has_charged_unsent()]:
+            connection.charge_unsent()
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
--- a/rosechute/proxy/http1/message.py
+++ b/rosechute/proxy/http1/message.py
@@ -100,6 +100,7 @@
         began: When the first byte was read.
         tid: The core's identifier of the call.
         head: Cached head for servers, without the headers that differ by attempt.
+        held: Bytes that the connection has charged to its budget for this request.
         headers_by_name: Headers by name, if no name is repeated; `None` if that was not determined.
     """
 
@@ -117,6 +118,7 @@
         "began",
         "tid",
         "head",
+        "held",
         "headers_by_name",
     )
 
@@ -132,6 +134,7 @@
         self.began = 0.0
         self.tid = ""
         self.head = b""
+        self.held = 0
         self.headers_by_name: dict[bytes, bytes] | None = None
 
     def header(self, name: bytes) -> bytes | None:
--- a/rosechute/sidecar/sidecar.py
+++ b/rosechute/sidecar/sidecar.py
@@ -22,6 +22,7 @@
 from rosechute.proxy.core.shares import descriptors
 from rosechute.proxy.http1.admission import RequestValidator
 from rosechute.proxy.http1.backend import HttpBackend
+from rosechute.proxy.http1.client import SHED_RETRY_AFTER
 from rosechute.proxy.http1.connection import Reply
 from rosechute.proxy.http1.listener import Listener
 from rosechute.proxy.http1.message import STATUS, Message
@@ -306,6 +307,9 @@
 
     def request(self, message: Message) -> None:
         """Validate a request and pass it to the core, or answer with an error status."""
+        if self._budget.is_spent:
+            message.reply(503, b"", [(b"Retry-After", SHED_RETRY_AFTER)])
+            return
         admitted = self._gate.validate(message, self._loop.time())
         if isinstance(admitted, int):
             message.reply(admitted)
