Links that others open are bounded in number and in the memory of incomplete messages

What members saw: callers that send frames of up to 20 MB and stop took a core process over memory_mb; each connection held its frame for as long as it stayed open, and nothing limited their number.

Change: the listener has a limit of connections and of memory by memory_mb and max_fds. Once one is spent, connections that never sent a message give way first, then those that stopped in the middle of one; a link on which a member sent something in the last 10 s never does. An edge reserves the descriptors.

--- a/rosechute/control_plane/core_links.py
+++ b/rosechute/control_plane/core_links.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from rosechute.distribution.actions import DialedLink, SendMessage
+from rosechute.listening.limits import ListenerLimits
 from rosechute.messages.coordination_pb2 import CoreMessage
 from rosechute.messages.framing import MessageKind
 from rosechute.messages.link_connection import LinkConnection
@@ -19,6 +20,7 @@
         on_coordination: Callable[[bytes], None],
         on_distribution: Callable[[LinkConnection, bytes], None],
         on_closed: Callable[[LinkConnection], None],
+        limits: ListenerLimits,
     ) -> None:
         """Prepare the links; `start` opens the server.
 
@@ -27,11 +29,12 @@
             on_coordination: Called with each encoded message from another core machine.
             on_distribution: Called with each encoded message from an edge and the connection it arrived on.
             on_closed: Called when a connection accepted by the server has closed.
+            limits: Limits of the connections that the server accepts.
         """
         self._on_coordination = on_coordination
         self._on_distribution = on_distribution
         self._pool = LinkPool(self._on_frame)
-        self._server = LinkServer(address, self._on_frame, on_closed)
+        self._server = LinkServer(address, self._on_frame, on_closed, limits)
 
     async def start(self) -> None:
         """Listen for links. Raises OSError if the address is in use."""
@@ -42,6 +45,10 @@
         self._server.close()
         self._pool.close()
 
+    def shed_total(self) -> int:
+        """Return how many accepted connections were closed since the start to keep to the limits."""
+        return self._server.connections.shed_total
+
     def send_to_core(self, address: str, message: CoreMessage) -> None:
         """Send a coordination message to the core machine at a link address."""
         self._pool.send(address, MessageKind.COORDINATION, message.SerializeToString())
--- a/rosechute/control_plane/core_machine.py
+++ b/rosechute/control_plane/core_machine.py
@@ -23,6 +23,7 @@
 from rosechute.distribution.core_directory import CoreAddress
 from rosechute.distribution.publisher import Publisher, PublisherState
 from rosechute.distribution.values import ListedServer
+from rosechute.listening.limits import core_link_limits
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.messages.coordination_pb2 import CoreMessage
 from rosechute.messages.link_connection import LinkConnection
@@ -63,8 +64,13 @@
         self._quota = QuotaService(settings.bounds)
         self._publisher = Publisher(self._quota.answer)
         self._core_addresses: tuple[CoreAddress, ...] = ()
+        memory_mb, max_fds = settings.limits.memory_mb, settings.limits.max_fds
         self._links = CoreLinks(
-            settings.core_link_address, self._on_coordination, self._on_distribution, self._on_link_closed
+            settings.core_link_address,
+            self._on_coordination,
+            self._on_distribution,
+            self._on_link_closed,
+            core_link_limits(memory_mb, max_fds),
         )
         self._api = OperatorApi(self, settings.listen.control, extend_api)
         self._endpoint_list_client = EndpointListClient(settings.cloud_api.address)
--- a/rosechute/data_plane/plane.py
+++ b/rosechute/data_plane/plane.py
@@ -20,6 +20,7 @@
 from rosechute.data_plane.route_durations import RouteDurations
 from rosechute.data_plane.shutdown import Shutdown
 from rosechute.data_plane.traffic_split import SplitSequences
+from rosechute.listening.limits import edge_link_limits
 from rosechute.proxy.core.flow import Budget
 from rosechute.proxy.core.shares import Descriptors, descriptors
 from rosechute.proxy.http1.message import Message
@@ -28,7 +29,7 @@
 
 OTHER_PLANES_MEMORY_MB = 36  # memory that the rest of the process needs
 DESCRIPTORS_RESERVED = 200  # file descriptors for files and listening sockets
-LINKS_RESERVED = 128  # file descriptors for links to other processes of the fleet
+OTHER_LISTENERS_RESERVED = 80  # file descriptors for readiness, metrics, and links that this edge opens
 MIN_CONNECTIONS = 64  # lower bound of the connections that clients and servers share
 LEASE_MARGIN_S = 0.3  # no request is sent this close to the expiry of the lease on the configuration
 LEASE_EXPIRED_RETRY_AFTER_S = 1.0  # `Retry-After` after that lease has expired
@@ -294,7 +295,10 @@
 
 def _descriptors(settings: ProcessSettings) -> Descriptors:
     """Return the connection limits of clients and of servers."""
-    return descriptors(max(MIN_CONNECTIONS, settings.limits.max_fds - DESCRIPTORS_RESERVED - LINKS_RESERVED))
+    limits = settings.limits
+    links = edge_link_limits(limits.memory_mb, limits.max_fds).connections
+    reserved = DESCRIPTORS_RESERVED + OTHER_LISTENERS_RESERVED + links
+    return descriptors(max(MIN_CONNECTIONS, limits.max_fds - reserved))
 
 
 def _memory_mb(settings: ProcessSettings) -> int:
--- a/rosechute/messages/frame_queue.py
+++ b/rosechute/messages/frame_queue.py
@@ -23,6 +23,11 @@
         """Return the number of frames."""
         return len(self._frames)
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of all frames together."""
+        return self._size_bytes
+
     def push(self, frame: bytes) -> None:
         """Add a frame; drop the oldest ones if the limit is exceeded."""
         self._frames.append(frame)
--- a/rosechute/messages/framing.py
+++ b/rosechute/messages/framing.py
@@ -51,6 +51,11 @@
 
     _buffer: bytearray = field(default_factory=bytearray)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the frame that is not complete yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Add bytes of the stream; return the frames that are complete.
 
--- a/rosechute/messages/link_connection.py
+++ b/rosechute/messages/link_connection.py
@@ -7,12 +7,15 @@
 
 from loguru import logger
 
+from rosechute.listening.connections import STALLED_S, ConnectionTable
 from rosechute.messages.errors import FrameError
 from rosechute.messages.frame_queue import FrameQueue
 from rosechute.messages.framing import FrameReader, MessageKind, encode_frame
 from rosechute.messages.socket_options import set_link_options
+from rosechute.proxy.core.shedding import Standing
 
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024  # limit of the transport; further frames wait in a queue that drops the oldest
+MEMBER_SILENCE_S = 10.0  # a member of the fleet sends more often than this
 
 OnMessage = Callable[["LinkConnection", MessageKind, bytes], None]
 """Called with the connection, the kind and the data of each message that arrives."""
@@ -23,14 +26,20 @@
 class LinkConnection(asyncio.Protocol):
     """An open connection. Delivery is not guaranteed: frames that cannot be sent are dropped, the oldest first."""
 
-    def __init__(self, address: str, on_message: OnMessage, on_closed: OnClosed) -> None:
+    def __init__(
+        self, address: str, on_message: OnMessage, on_closed: OnClosed, table: ConnectionTable | None = None
+    ) -> None:
         """Create the protocol of a connection that is about to open.
 
         Args:
             address: Address of the peer, `host:port`; empty for an accepted connection, whose peer is then looked up.
             on_message: Called with each message.
             on_closed: Called when the connection has ended.
+            table: The connections of the listener that accepted it; None for a connection that this side opened.
         """
+        self._table = table
+        self._last_received_at = 0.0  # loop time
+        self._has_received = False  # a complete message has arrived
         self.address = address
         self._on_message = on_message
         self._on_closed = on_closed
@@ -82,17 +91,26 @@
         link_socket = transport.get_extra_info("socket")
         if link_socket is not None:
             set_link_options(link_socket)
+        if self._table is not None:
+            self._last_received_at = asyncio.get_running_loop().time()
+            if not self._table.add(self):
+                transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Pass the complete messages to the handler; called by asyncio."""
+        if self._table is not None:
+            self._last_received_at = asyncio.get_running_loop().time()
         try:
             messages = self._reader.feed(data)
         except FrameError as error:
             logger.warning("link closed after an invalid frame peer={} error={}", self.address, error)
             self.close()
             return
+        self._has_received = self._has_received or bool(messages)
         for kind, message in messages:
             self._handle(kind, message)
+        if self._table is not None and self._reader.held_bytes:
+            self._table.relieve()
 
     def pause_writing(self) -> None:
         """Start to queue frames, as the peer reads slower than this side sends; called by asyncio."""
@@ -108,8 +126,36 @@
         """Report the end of the connection; called by asyncio."""
         self._transport = None
         self._queue.clear()
+        if self._table is not None:
+            self._table.remove(self)
         self._on_closed(self, str(error) if error else "closed")
 
+    # --- GuardedConnection
+
+    def standing(self, now: float) -> Standing:
+        """Return why this connection holds memory and a descriptor. A member of the fleet sends every few seconds."""
+        silent_s = now - self._last_received_at
+        if self._reader.held_bytes:
+            if silent_s < STALLED_S:
+                return Standing.ARRIVING_FORWARDED if self._has_received else Standing.ARRIVING
+            return Standing.STALLED_FORWARDED if self._has_received else Standing.STALLED
+        if not self._has_received:
+            return Standing.SILENT
+        return Standing.IDLE if silent_s >= MEMBER_SILENCE_S else Standing.KEPT
+
+    def held_bytes(self) -> int:
+        """Return the memory that is free once this connection is closed."""
+        return self._reader.held_bytes + self._queue.size_bytes
+
+    def last_active_at(self) -> float:
+        """Return the loop time at which the peer last sent anything."""
+        return self._last_received_at
+
+    def shed(self) -> None:
+        """Close the connection: it gives way to others."""
+        logger.debug("link gave way to others peer={}", self.address)
+        self.close()
+
     def _handle(self, kind: MessageKind, message: bytes) -> None:
         try:
             self._on_message(self, kind, message)
--- a/rosechute/processes/edge_links.py
+++ b/rosechute/processes/edge_links.py
@@ -12,6 +12,7 @@
 from rosechute.distribution.actions import Action, Connection, DialedLink, SendMessage
 from rosechute.distribution.membership import EdgeIdentity
 from rosechute.distribution.subscriber import Subscriber
+from rosechute.listening.limits import edge_link_limits
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.messages.errors import LinkError
 from rosechute.messages.framing import MessageKind
@@ -52,7 +53,8 @@
             loop, settings.node_name, incarnation, self.send_to_leader, self.subscriber.leaderless_since
         )
         self._pool = LinkPool(self._on_dialed_frame, self._on_dialed_closed)
-        self._server = LinkServer(address, self._on_accepted_frame, self._on_accepted_closed)
+        limits = edge_link_limits(settings.limits.memory_mb, settings.limits.max_fds)
+        self._server = LinkServer(address, self._on_accepted_frame, self._on_accepted_closed, limits)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._logged_leader: str | None = None  # leader named by the last log line about it
@@ -63,6 +65,10 @@
         await self._server.start()
         self._tick()
 
+    def shed_total(self) -> int:
+        """Return how many accepted connections were closed since the start to keep to the limits."""
+        return self._server.connections.shed_total
+
     def close(self) -> None:
         """Close every link."""
         if self._timer is not None:
