Operator's API, readiness and metrics are bounded in connections and in memory

What the operator saw: 200 callers that stop in the middle of POST /config/replace took a core process far over memory_mb, and a crowd of short chunks left no order answered. On readiness and metrics nothing limited the connections: 700 that send nothing took every descriptor of an edge.

Cause: the HTTP library bounds what one connection may buffer, not how many there are nor what they hold together; it closes none that sends no complete request; and the error of a broken body keeps the body until a collection.

--- a/rosechute/control_plane/core_machine.py
+++ b/rosechute/control_plane/core_machine.py
@@ -23,7 +23,7 @@
 from rosechute.distribution.core_directory import CoreAddress
 from rosechute.distribution.publisher import Publisher, PublisherState
 from rosechute.distribution.values import ListedServer
-from rosechute.listening.limits import core_link_limits
+from rosechute.listening.limits import control_limits, core_link_limits
 from rosechute.messages import distribution_pb2 as pb
 from rosechute.messages.coordination_pb2 import CoreMessage
 from rosechute.messages.link_connection import LinkConnection
@@ -72,7 +72,7 @@
             self._on_link_closed,
             core_link_limits(memory_mb, max_fds),
         )
-        self._api = OperatorApi(self, settings.listen.control, extend_api)
+        self._api = OperatorApi(self, settings.listen.control, extend_api, control_limits(memory_mb, max_fds))
         self._endpoint_list_client = EndpointListClient(settings.cloud_api.address)
         self._endpoint_list_reader = EndpointListReader(
             self._endpoint_list_client.fetch,
@@ -156,6 +156,10 @@
         write_age_s = 0.0 if pending_since is None else now - pending_since
         return build_core_report(self._runtime.replica, now, write_age_s, self._publisher.edges_total(now))
 
+    def shed_counts(self) -> dict[str, float]:
+        """Return the connections closed since the start to keep to the limits of a listener, by listener."""
+        return {"control": self._api.shed_total(), "links": self._links.shed_total()}
+
     def quota_counts(self) -> dict[str, float]:
         """Return the quota tokens requested, issued and deposited by this machine since its start, by kind."""
         return self._quota.counts.of(QUOTA_TOKENS)
--- a/rosechute/control_plane/operator_api.py
+++ b/rosechute/control_plane/operator_api.py
@@ -23,6 +23,8 @@
     VersionConflict,
     WriteAcknowledged,
 )
+from rosechute.listening.http import HttpServer
+from rosechute.listening.limits import ListenerLimits, control_limits
 
 from .write_requests import ConfigurationStore, write_request_digest
 
@@ -34,6 +36,8 @@
 MIN_OUTCOME_TIMEOUT_S = 0.5  # minimum wait for the outcome, also if the body arrived slowly
 RETRY_AFTER_S = 0.2
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
+SHUTDOWN_TIMEOUT_S = 0.2
+DEFAULT_LIMITS = control_limits(memory_mb=256, max_fds=1024)
 MAX_VERSION = 2**63 - 1  # a version is stored in 8 bytes
 
 
@@ -53,6 +57,7 @@
         configurations: ConfigurationStore,
         control_address: str,
         extend: Callable[[web.Application], None] | None = None,
+        limits: ListenerLimits = DEFAULT_LIMITS,
     ) -> None:
         """Create the server; `start` listens.
 
@@ -60,11 +65,13 @@
             configurations: Store to which configurations are proposed and from which they are read.
             control_address: Control address of this machine, host:port.
             extend: Adds routes, such as the state page, to the application.
+            limits: Limits of the connections.
         """
+        self._limits = limits
         self._configurations = configurations
         self._control_address = control_address
         self._extend = extend
-        self._runner: web.AppRunner | None = None
+        self._server: HttpServer | None = None
 
     def application(self) -> web.Application:
         """Return the application with the routes of the API."""
@@ -78,14 +85,17 @@
     async def start(self) -> None:
         """Listen. Raises OSError if the address is in use."""
         host, _, port = self._control_address.rpartition(":")
-        self._runner = web.AppRunner(self.application(), access_log=None, handle_signals=False, shutdown_timeout=0.2)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        self._server = HttpServer(self.application(), "control", self._limits, SHUTDOWN_TIMEOUT_S)
+        await self._server.start(host, int(port))
 
     async def stop(self) -> None:
         """Stop listening and close the connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop()
+
+    def shed_total(self) -> int:
+        """Return how many connections were closed since the start to keep to the limits."""
+        return self._server.connections.shed_total if self._server is not None else 0
 
     async def replace(self, request: web.Request) -> web.Response:
         """Serve `POST /config/replace`: propose the complete configuration in the request body."""
--- a/rosechute/processes/core_metrics.py
+++ b/rosechute/processes/core_metrics.py
@@ -12,7 +12,7 @@
 
 from rosechute.control_plane.core_machine import CoreMachine
 from rosechute.control_plane.core_report import CoreReport
-from rosechute.processes.metrics import Family, by_kind, single
+from rosechute.processes.metrics import Family, by_kind, shed_family, single
 
 MILLISECONDS_PER_S = 1e3
 
@@ -59,6 +59,7 @@
         Family(metric.name, metric.help_text, (), single(_report_reader(machine, metric.value)))
         for metric in REPORT_METRICS
     ]
+    families.append(shed_family(machine.shed_counts))
     families.append(
         Family(
             "quota_tokens_total",
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -30,6 +30,8 @@
 from rosechute.data_plane.plane import DataPlane
 from rosechute.distribution.actions import Action, ConfigurationChanged, EdgesTotalChanged, ServersChanged
 from rosechute.distribution.values import ListedServer
+from rosechute.listening.http import HttpServer
+from rosechute.listening.limits import SMALL_LISTENER
 from rosechute.processes import logs
 from rosechute.processes.edge_links import EdgeLinks
 from rosechute.processes.edge_metrics import edge_families
@@ -42,7 +44,7 @@
 from rosechute.routing.tuning import RouterTuning
 
 READINESS_PATH = "/readiness"
-BACKLOG = 64
+READINESS_SHUTDOWN_S = 0.2  # for requests at the readiness address, once everything else has ended
 RELEASE_WAIT_S = 0.05  # at shutdown, until the last message to the leader has been sent
 
 
@@ -66,9 +68,10 @@
         random = secrets.SystemRandom().random
         router = Router(random, RouterTuning(zone=settings.zone))
         self._plane = DataPlane(loop, settings, router, self._links.quota, self)
-        families = edge_families(loop, self._plane, router, self._links)
-        self._metrics = MetricsServer(settings.ip, EDGE_PORT, families)
         self._state = ProcessState(settings)
+        self._readiness_server = self._make_readiness_server()
+        families = edge_families(loop, self._plane, router, self._links, self._readiness_server.connections)
+        self._metrics = MetricsServer(settings.ip, EDGE_PORT, families)
         self._state.add("distribution", self._distribution_state)
         self._state.add("clients", self._plane.clients)
         self._state.add("routing", lambda: router_report(router, loop.time()))
@@ -80,7 +83,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.end)
         loop.add_signal_handler(signal.SIGHUP, self._settings_watch.reload)
-        runner = await self._listen_readiness()
+        await self._readiness_server.start(*split_address(self._settings.listen.readiness))
         await self._metrics.start()
         await self._links.start()
         logger.info("edge started edge={} listen={}", self._settings.node_name, self._settings.listen.front)
@@ -96,7 +99,7 @@
         await asyncio.sleep(RELEASE_WAIT_S)
         self._links.close()
         await self._metrics.stop()
-        await runner.cleanup()
+        await self._readiness_server.stop()
 
     def end(self) -> None:
         """Begin the shutdown. Readiness fails at once, since a probe may arrive before `run` resumes."""
@@ -114,15 +117,11 @@
         self._plane.apply_settings(settings)
         self._links.change_settings(settings)
 
-    async def _listen_readiness(self) -> web.AppRunner:
+    def _make_readiness_server(self) -> HttpServer:
         application = web.Application()
         application.router.add_get(READINESS_PATH, self._readiness)
         self._state.add_to(application)
-        runner = web.AppRunner(application, access_log=None, handle_signals=False)
-        await runner.setup()
-        host, port = split_address(self._settings.listen.readiness)
-        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
-        return runner
+        return HttpServer(application, "readiness", SMALL_LISTENER, READINESS_SHUTDOWN_S)
 
     async def _readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._plane.ready() else 503)
--- a/rosechute/processes/edge_metrics.py
+++ b/rosechute/processes/edge_metrics.py
@@ -6,17 +6,30 @@
 import math
 
 from rosechute.data_plane.plane import REJECTED, REQUESTS, DataPlane
+from rosechute.listening.connections import ConnectionTable
 from rosechute.processes.edge_links import BYTES_SENT, EdgeLinks
-from rosechute.processes.metrics import Family, Values, by_kind, single
+from rosechute.processes.metrics import Family, Values, by_kind, shed_family, single
 from rosechute.processes.quota_client import QUOTA_DECISIONS
 from rosechute.routing.router import ATTEMPTS, PROMPT_TOKENS, REJECTIONS, Router
 from rosechute.routing.sticky import STICKY_PICKS
 
 
 def edge_families(
-    loop: asyncio.AbstractEventLoop, plane: DataPlane, router: Router, links: EdgeLinks
+    loop: asyncio.AbstractEventLoop,
+    plane: DataPlane,
+    router: Router,
+    links: EdgeLinks,
+    readiness: ConnectionTable | None = None,
 ) -> list[Family]:
-    """Return the metric families of one edge."""
+    """Return the metric families of one edge.
+
+    Args:
+        loop: The event loop.
+        plane: Its data plane.
+        router: Its router.
+        links: Its links.
+        readiness: Connections of its readiness address; None where it has none.
+    """
     subscriber = links.subscriber
 
     def confirmed_age_s() -> float:
@@ -39,6 +52,19 @@
             "requests_open", "Accepted requests that are not finished.", (), single(lambda: plane.clients().requests)
         ),
         Family("client_connections", "Open connections of clients.", (), single(lambda: plane.clients().connections)),
+        shed_family(
+            lambda: {
+                "front": plane.client_listener.listener.shed_total,
+                "links": links.shed_total(),
+                "readiness": readiness.shed_total if readiness is not None else 0,
+            }
+        ),
+        Family(
+            "request_memory_bytes",
+            "Memory that requests and responses hold (`used`), and their limit (`limit`).",
+            ("state",),
+            by_kind(lambda: {"used": plane.budget.used, "limit": plane.budget.total}),
+        ),
         Family(
             "attempts_total",
             "Finished attempts at servers, by result.",
--- a/rosechute/processes/metrics.py
+++ b/rosechute/processes/metrics.py
@@ -12,11 +12,15 @@
 from aiohttp import web
 from loguru import logger
 
+from rosechute.listening.http import HttpServer
+from rosechute.listening.limits import SMALL_LISTENER
+
 EDGE_PORT = 9465  # the deployment file deploy/system.toml names both ports
 CORE_PORT = 9466
 PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4"
 PREFIX = "rosechute_"
+SHUTDOWN_TIMEOUT_S = 0.1
 
 Values = Mapping[tuple[str, ...], float]  # keyed by label values
 
@@ -58,6 +62,16 @@
     return read
 
 
+def shed_family(counts: Callable[[], Mapping[str, float]]) -> Family:
+    """Return the family of the connections that were closed to keep to the limits of a listener, by listener."""
+    return Family(
+        "listener_connections_shed_total",
+        "Connections closed or refused to keep to the limits of a listener, by listener.",
+        ("listener",),
+        by_kind(counts),
+    )
+
+
 def render(families: Sequence[Family]) -> str:
     """Return all families as text. One that cannot be read is omitted and logged; the others are unaffected."""
     lines: list[str] = []
@@ -89,23 +103,22 @@
 
     def __init__(self, ip: str, port: int, families: Sequence[Family]) -> None:
         self._ip, self._port, self._families = ip, port, families
-        self._runner: web.AppRunner | None = None
+        self._runner: HttpServer | None = None
 
     async def start(self) -> None:
         """Listen; log a warning if the address cannot be bound."""
         application = web.Application()
         application.router.add_get(PATH, self._handle)
-        self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.1)
-        await self._runner.setup()
+        self._runner = HttpServer(application, "metrics", SMALL_LISTENER, SHUTDOWN_TIMEOUT_S)
         try:
-            await web.TCPSite(self._runner, self._ip, self._port).start()
+            await self._runner.start(self._ip, self._port)
         except OSError as error:
             logger.warning("metrics are not served: {}:{}: {}", self._ip, self._port, error)
 
     async def stop(self) -> None:
         """Stop listening."""
         if self._runner is not None:
-            await self._runner.cleanup()
+            await self._runner.stop()
 
     async def _handle(self, request: web.Request) -> web.Response:
         return web.Response(text=render(self._families), headers={"Content-Type": CONTENT_TYPE})
--- a/tests/fleet/test_documents.py
+++ b/tests/fleet/test_documents.py
@@ -51,6 +51,7 @@
     "coordination",
     "data_plane",
     "distribution",
+    "listening",
     "messages",
     "processes",
     "routing",
