--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,209 @@
+"""One run of the soak, and the rules that hold in it whatever the machine's speed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from rosechute.configuration.process import split_address
+from rosechute.fakes.fleet import words
+from rosechute.fakes.fleet.processes import FleetNode
+from rosechute.fakes.fleet.scene import FleetDeployment
+from tests.crowds.watch import MEGABYTE, Watch
+from tests.soak.clients import Ending, KeptConnectionClient, SentRequest
+from tests.soak.troubles import Trouble, TroubleKind, draw_troubles
+
+READY_TIMEOUT_S = 60.0
+CHANGE_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0  # a process that has not ended by then hangs
+CLIENTS_PER_EDGE = 4
+KILL_SLACK_S = 1.0  # a request that ends this soon after a SIGKILL of its edge may have lost its answer by that
+RESTART_PAUSE_S = 0.2
+WATCH_INTERVAL_S = 0.5
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """What a run found.
+
+    Attributes:
+        faults: One line for each rule that was broken.
+        requests: Number of requests.
+        endings: Requests by their ending and status.
+        peak_memory_mb: Largest memory of each process, in megabytes.
+    """
+
+    faults: list[str] = field(default_factory=list)
+    requests: int = 0
+    endings: Counter[str] = field(default_factory=Counter)
+    peak_memory_mb: dict[str, float] = field(default_factory=dict)
+
+
+class Soak:
+    """One run.
+
+    Args:
+        folder: Folder for settings, logs and data.
+        seed: Seed of the troubles and the clients.
+        seconds: Length of the run.
+        edges_per_zone: Edges in each of the three zones.
+    """
+
+    def __init__(self, folder: Path, seed: int, seconds: float, edges_per_zone: int) -> None:
+        self._scene = FleetDeployment(folder, seed, edges_per_zone)
+        self._seed, self._seconds = seed, seconds
+        self._result = SoakResult()
+        self._killed_at: dict[str, list[float]] = {}
+        self._busy: set[str] = set()  # processes that are being stopped or started
+        self._clients: list[KeptConnectionClient] = []
+        self._changing = asyncio.Lock()
+        self._watches: list[tuple[FleetNode, Watch]] = []
+
+    async def run(self) -> SoakResult:
+        """Play the run and check the rules."""
+        await self._scene.start()
+        try:
+            await self._prepare()
+            sending = [asyncio.create_task(client.run()) for client in self._clients]
+            await self._play()
+            for task in sending:
+                task.cancel()
+            await asyncio.gather(*sending, return_exceptions=True)
+            await self._check_configuration()
+            self._check_requests()
+        finally:
+            await self._scene.stop()
+        return self._result
+
+    async def _prepare(self) -> None:
+        scene = self._scene
+        outcome = await scene.replace_configuration(within_s=READY_TIMEOUT_S)
+        edges = scene.fleet.edge_endpoints()
+        if outcome.status != 200 or not await scene.wait_ready(len(edges), READY_TIMEOUT_S):
+            raise RuntimeError(f"the fleet is not ready: configuration {outcome.status}")
+        self._clients = [
+            KeptConnectionClient(f"{edge.name}-{number}", edge.name, split_address(edge.front), self._seed + number)
+            for edge in edges
+            for number in range(CLIENTS_PER_EDGE)
+        ]
+
+    async def _play(self) -> None:
+        """Play all troubles, each at its time whether or not those before it have ended."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for node in self._scene.fleet.nodes.values():
+            self._watch(node)
+        async with asyncio.TaskGroup() as group:
+            for trouble in draw_troubles(self._seed, list(self._scene.fleet.nodes), self._seconds):
+                await asyncio.sleep(max(0.0, started_at + trouble.at - loop.time()))
+                group.create_task(self._cause(trouble))
+            await asyncio.sleep(max(0.0, started_at + self._seconds - loop.time()))
+        for node, watch in self._watches:
+            self._check_memory(node, watch)
+
+    async def _cause(self, trouble: Trouble) -> None:
+        if trouble.kind is TroubleKind.CHANGE:
+            await self._change_configuration()
+            return
+        node = self._scene.fleet.nodes[trouble.node]
+        if node.name in self._busy or node.process is None:
+            return
+        if not node.running:
+            self._result.faults.append(f"{node.name} ended by itself with {node.process.returncode}")
+        if trouble.kind is TroubleKind.RELOAD:
+            node.process.send_signal(signal.SIGHUP)
+            return
+        self._busy.add(node.name)
+        try:
+            await self._end(node, trouble.kind)
+            await asyncio.sleep(RESTART_PAUSE_S)
+            await self._scene.fleet.start(node.name)
+            self._watch(node)
+        finally:
+            self._busy.discard(node.name)
+
+    async def _end(self, node: FleetNode, kind: TroubleKind) -> None:
+        process = node.process
+        assert process is not None
+        loop = asyncio.get_running_loop()
+        if kind is TroubleKind.KILL:
+            self._killed_at.setdefault(node.name, []).append(loop.time())
+            await self._scene.fleet.kill(node.name)
+            return
+        process.send_signal(signal.SIGTERM)
+        if kind is TroubleKind.STOP_TWICE:
+            await asyncio.sleep(RESTART_PAUSE_S)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                code = await process.wait()
+        except TimeoutError:
+            self._result.faults.append(f"{node.name} did not end after SIGTERM")
+            await self._scene.fleet.kill(node.name)
+            return
+        if code != 0:
+            self._result.faults.append(f"{node.name} ended after SIGTERM with {code}")
+
+    async def _change_configuration(self) -> None:
+        """Change the configuration; one change at a time, so that the next one knows its base."""
+        async with self._changing:
+            outcome = await self._scene.replace_configuration(lambda wanted: None, CHANGE_TIMEOUT_S)
+            if outcome.status != 200:
+                self._result.faults.append(f"a change of the configuration ended with {outcome.status}")
+
+    def _watch(self, node: FleetNode) -> None:
+        assert node.process is not None
+        watch = Watch(node.process.pid, node.ip, WATCH_INTERVAL_S)
+        watch.start()
+        self._watches.append((node, watch))
+
+    def _check_memory(self, node: FleetNode, watch: Watch) -> None:
+        peaks, limit = watch.stop(), self._scene.fleet.memory_mb
+        peak_mb = peaks.memory_bytes / MEGABYTE
+        self._result.peak_memory_mb[node.name] = max(peak_mb, self._result.peak_memory_mb.get(node.name, 0.0))
+        if peaks.memory_bytes > limit * MEGABYTE:
+            self._result.faults.append(f"{node.name}: {peaks}, limit {limit} MB")
+
+    async def _check_configuration(self) -> None:
+        read = await self._scene.operator.read(CHANGE_TIMEOUT_S)
+        version = msgspec.json.decode(read.body).get("config_version") if read.status == 200 else None
+        expected = self._scene.configuration["config_version"]
+        if version != expected:
+            self._result.faults.append(f"configuration {version} is read back, {expected} was acknowledged")
+
+    def _check_requests(self) -> None:
+        engines = self._scene.engines.values()
+        runs = Counter(request.request_id for engine in engines for request in engine.stats.started_requests)
+        for request in (one for client in self._clients for one in client.sent):
+            self._result.requests += 1
+            self._result.endings[f"{request.ending.value} {request.status}"] += 1
+            self._check_request(request, runs[request.request_id])
+
+    def _check_request(self, request: SentRequest, runs: int) -> None:
+        faults = self._result.faults
+        if runs > 1:
+            faults.append(f"{request.request_id} ran {runs} times")
+        if not request.is_right:
+            faults.append(f"{request.request_id} got another answer than its own")
+        if request.status in words.NOT_RUN_STATUSES and runs:
+            faults.append(f"{request.request_id} was answered {request.status} and ran")
+        was_killed = any(
+            request.sent_at - KILL_SLACK_S <= at <= request.ended_at + KILL_SLACK_S
+            for at in self._killed_at.get(request.edge, ())
+        )
+        if request.ending is Ending.CLOSED and runs and not was_killed:
+            faults.append(f"{request.request_id} ran, and its connection was closed without an answer")
+
+
+async def play(seed: int, seconds: float, edges_per_zone: int = 1) -> SoakResult:
+    """Play one run in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="rosechute-soak-") as folder:
+        return await Soak(Path(folder), seed, seconds, edges_per_zone).run()
