--- a/rosechute/data_plane/connection_pool.py
+++ b/rosechute/data_plane/connection_pool.py
@@ -182,7 +182,6 @@
                 MAX_ERROR_RESPONSE_BYTES,
                 budget=self._budget,
                 successes=ANY_SUCCESS,
-                receive_buffer_bytes=self._budget.receive_buffer(self._open_count),
             ),
             server,
         )
--- a/rosechute/data_plane/plane.py
+++ b/rosechute/data_plane/plane.py
@@ -29,7 +29,7 @@
 
 OTHER_PLANES_MEMORY_MB = 36  # memory that the rest of the process needs
 DESCRIPTORS_RESERVED = 200  # file descriptors for files and listening sockets
-OTHER_LISTENERS_RESERVED = 80  # file descriptors for readiness, metrics, and links that this edge opens
+OTHER_LISTENERS_RESERVED = 64  # file descriptors for readiness, metrics, and links that this edge opens
 MIN_CONNECTIONS = 64  # lower bound of the connections that clients and servers share
 LEASE_MARGIN_S = 0.3  # no request is sent this close to the expiry of the lease on the configuration
 LEASE_EXPIRED_RETRY_AFTER_S = 1.0  # `Retry-After` after that lease has expired
--- a/rosechute/listening/limits.py
+++ b/rosechute/listening/limits.py
@@ -14,7 +14,7 @@
 SMALL_CONNECTIONS = 32  # of a listener whose callers are few and known
 CONTROL_DIVISOR, MIN_CONTROL_CONNECTIONS = 16, 16  # fraction of a core process's descriptors for the operator's API
 LINKS_DIVISOR, MIN_LINKS = 4, 64  # fraction of a core process's descriptors for links that others open
-EDGE_LINKS_DIVISOR, MIN_EDGE_LINKS = 32, 128  # the same for an edge, which other edges of its zone subscribe to
+EDGE_LINKS_DIVISOR, MIN_EDGE_LINKS = 32, 64  # the same for an edge, which other edges of its zone subscribe to
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosechute/proxy/http1/connection.py
+++ b/rosechute/proxy/http1/connection.py
@@ -65,7 +65,6 @@
         budget: Memory budget to which buffered bodies are charged.
         trust_end: Whether a close by the server ends a response that has no length.
         successes: Statuses of responses that may be streamed.
-        receive_buffer_bytes: Size of the kernel's receive buffer.
 
     Attributes:
         touched: Whether any byte of the last request was written.
@@ -85,11 +84,9 @@
         budget: Budget | None = None,
         trust_end: bool = True,
         successes: range = STREAMED_STATUSES,
-        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
     ) -> None:
         self._on_lost = on_lost
         self._successes = successes
-        self._receive_buffer_bytes = receive_buffer_bytes
         self._trust_end = trust_end
         self._max_body = self._limit = max_body
         self._max_simple_body = min(max_body, HOLD_BYTES)
@@ -134,7 +131,7 @@
         # With a high-water mark of 0, pause_writing is called whenever the kernel accepts only part of a write.
         self._transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN)
 
