At most 32 finely chunked bodies are parsed in turns; further ones give way

Cause, from reading: a client's close comes behind the bytes that its kernel still holds, up to megabytes each, and all of them were parsed in turns. Chunks of 16 bytes did not count as fine, so they took no turns.

Change: further bodies are refused with 503, what follows is discarded without being parsed; a body is finely chunked from a quarter of framing on.

--- a/rosechute/proxy/core/turns.py
+++ b/rosechute/proxy/core/turns.py
@@ -17,6 +17,10 @@
     def __init__(self) -> None:
         self._waiting: deque[Callable[[], None]] = deque()
 
+    def __len__(self) -> int:
+        """Return the number of callbacks that wait."""
+        return len(self._waiting)
+
     def add(self, callback: Callable[[], None]) -> None:
         """Run a callback once those added before have run."""
         self._waiting.append(callback)
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -28,9 +28,9 @@
 # A chunk of one byte has five.
 MAX_FRAMING_RATIO = 16
 MAX_FRAMING_BYTES = 64 * 1024
-# A body is finely chunked if it has this many bytes with its framing for each byte of its payload. It costs much more
-# time than another of its size, and is parsed in turns of so many bytes.
-FINE_FRAMING_RATIO = 2
+# A body is finely chunked if its framing takes more than this fraction of its payload. It costs much more time than
+# another of its size, and is parsed in turns of so many bytes.
+FINE_FRAMING_DIVISOR = 4
 FINE_PARSE_BYTES = 16 * 1024
 MAX_DRAIN = 96 * 1024 * 1024  # bytes discarded after an error, so that the client can read the response
 PARSE_BYTES = 4096  # bytes parsed at a time: limits how many requests one read can begin
@@ -120,8 +120,8 @@
         """Have connections give way: the budget is spent."""
         ...
 
-    def defer(self, callback: Callable[[], None]) -> None:
-        """Run a callback after those of other connections, in a turn of the event loop of its own."""
+    def defer(self, callback: Callable[[], None]) -> bool:
+        """Run a callback after those of other connections, in a turn of its own; return False if too many wait."""
         ...
 
     def may_stream(self) -> bool:
@@ -293,13 +293,15 @@
 
     def _is_finely_chunked(self) -> bool:
         """Return whether the body that is being received has many short chunks."""
-        return not self._in_head and self._framing_bytes > FINE_FRAMING_RATIO * self._size
+        return not self._in_head and self._framing_bytes > self._size + self._size // FINE_FRAMING_DIVISOR
 
     def _defer(self) -> None:
         """Pause reading until the listener gives this connection its next turn."""
+        if not self._listener.defer(self._resume_deferred):
+            self.shed()
+            return
         self._pause()
         self._is_deferred = True
-        self._listener.defer(self._resume_deferred)
 
     def _resume_deferred(self) -> None:
         """Parse the next part of a finely chunked body."""
--- a/rosechute/proxy/http1/listener.py
+++ b/rosechute/proxy/http1/listener.py
@@ -38,6 +38,7 @@
 EVICT_STALLED_S = 0.3  # the same for a connection that has stopped in the middle of a request
 # The same, if nothing else can be closed, for one whose request is being forwarded or that does not read.
 EVICT_FORWARDED_S = 1.0
+MAX_DEFERRED = 32  # finely chunked bodies that may wait for a turn; further ones are refused
 STREAMED_BODIES_DIVISOR = 4  # bodies that are forwarded while they arrive may use this fraction of the connections
 
 
@@ -404,9 +405,16 @@
         if closed:
             LOG.warning("clients.memory_spent", shed=len(closed), used=self.budget.used, total=self.budget.total)
 
-    def defer(self, callback: Callable[[], None]) -> None:
-        """Run a callback after those of other connections, in a turn of the event loop of its own."""
+    def defer(self, callback: Callable[[], None]) -> bool:
+        """Run a callback after those of other connections, in a turn of its own; return False if too many wait.
+
+        The client's kernel may hold as much again as was read, and delivers it even after the client has left.
+        """
+        if len(self._turns) >= MAX_DEFERRED:
+            self.shed_total += 1
+            return False
         self._turns.add(callback)
+        return True
 
     def may_stream(self) -> bool:
         """Return whether one more body may be forwarded while it arrives, after making room for it if necessary.
