A signal that arrives while a process ends no longer ends it with the signal's number

What the operator saw: a process that had got SIGTERM and was ending in order exited with -15 (or -2, -1) in place of 0 if another SIGTERM, SIGINT or SIGHUP came just then.

Cause: the event loop resets the signals that it handles to their default actions when it closes; the interpreter then shuts down for some ten milliseconds, and another signal ends the process.

Change: rosechute.proxy.core.process_signals handles the signals of edge, core and sidecar with handlers of the process, not of the loop, and ignores them from the end of the work on. There is no moment at which the default action holds. The soak signals through pidfd: asyncio's own method may reap a process that has just ended, and loses its exit status.

--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -28,6 +28,7 @@
 from rosechute.processes.metrics import CORE_PORT, MetricsServer
 from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
+from rosechute.proxy.core.process_signals import handle_signals
 
 SHUTDOWN_TIMEOUT_S = 1.8  # longer than the handover of the leader lease, which may take 1.05 s
 EXIT_UNUSABLE = 2  # the settings are unusable, or an address cannot be bound
@@ -58,7 +59,13 @@
             OSError: An address is in use or does not belong to this machine.
             TimeoutError: The shutdown took longer than `SHUTDOWN_TIMEOUT_S`.
         """
-        self._install_handlers(asyncio.get_running_loop())
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_unhandled)
+        stop, reload = self._stop_requested.set, self._settings_watch.reload
+        with handle_signals(loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload}):
+            await self._serve()
+
+    async def _serve(self) -> None:
         await self._machine.start()
         await self._metrics.start()
         gc.freeze()  # objects loaded by now are never freed, so later collections can skip them
@@ -71,12 +78,6 @@
         await self._metrics.stop()
         await asyncio.wait_for(self._machine.stop(), SHUTDOWN_TIMEOUT_S)
 
-    def _install_handlers(self, loop: asyncio.AbstractEventLoop) -> None:
-        loop.set_exception_handler(_log_unhandled)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._settings_watch.reload)
-
 
 def main() -> int:
     """Run a core process; return its exit status: 0 or `EXIT_UNUSABLE`."""
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -38,6 +38,7 @@
 from rosechute.processes.metrics import EDGE_PORT, MetricsServer
 from rosechute.processes.settings_watch import SettingsWatch
 from rosechute.processes.state import ProcessState
+from rosechute.proxy.core.process_signals import handle_signals
 from rosechute.routing.model import ServerEntry
 from rosechute.routing.report import router_report
 from rosechute.routing.router import Router
@@ -80,9 +81,13 @@
         """Serve until SIGTERM or SIGINT, then until every request is answered or the grace period has elapsed."""
         loop = asyncio.get_running_loop()
         await self._plane.start()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.end)
-        loop.add_signal_handler(signal.SIGHUP, self._settings_watch.reload)
+        reload = self._settings_watch.reload
+        with handle_signals(loop, {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: reload}):
+            await self._serve(loop)
+            await self._shut_down()
+
+    async def _serve(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Serve until the shutdown begins."""
         await self._readiness_server.start(*split_address(self._settings.listen.readiness))
         await self._metrics.start()
         await self._links.start()
@@ -91,8 +96,11 @@
         gc.freeze()
         watch_task = loop.create_task(self._settings_watch.run())
         await self._stop_requested.wait()
-        logger.info("edge shutting down edge={}", self._settings.node_name)
         watch_task.cancel()
+
+    async def _shut_down(self) -> None:
+        """End everything in order once the requests are answered or the grace period has elapsed."""
+        logger.info("edge shutting down edge={}", self._settings.node_name)
         self._links.leave()
         await self._plane.finish_shutdown()
         self._links.quota.release()
--- a/rosechute/sidecar/__main__.py
+++ b/rosechute/sidecar/__main__.py
@@ -21,6 +21,7 @@
 import uvloop
 
 from rosechute.proxy.core.log import LOG, LOG_WRITER
+from rosechute.proxy.core.process_signals import handle_signals
 from rosechute.sidecar.config import Config, ConfigError, load
 from rosechute.sidecar.reload import read_again, restart_keys
 from rosechute.sidecar.sidecar import Policy, Sidecar
@@ -32,10 +33,16 @@
     """Run one sidecar until SIGTERM or SIGINT; `policies` creates the policy of the operator's file."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     reload_requests = asyncio.Semaphore(0)  # counts signals: each one leads to a reload or a rejection
-    loop.add_signal_handler(signal.SIGHUP, reload_requests.release)
+    actions = {signal.SIGTERM: stop.set, signal.SIGINT: stop.set, signal.SIGHUP: reload_requests.release}
+    with handle_signals(loop, actions):
+        await _serve_until(stop, reload_requests, sidecar_env, policies)
+
+
+async def _serve_until(
+    stop: asyncio.Event, reload_requests: asyncio.Semaphore, sidecar_env: Mapping[str, str], policies: Policies | None
+) -> None:
+    loop = asyncio.get_running_loop()
     config = load(sidecar_env)
     policy = policies(config) if policies is not None else None
     sidecar = Sidecar(config, loop, policy)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import tempfile
 from collections import Counter
@@ -18,6 +17,7 @@
 from rosechute.fakes.fleet.scene import FleetDeployment
 from tests.crowds.watch import MEGABYTE, Watch
 from tests.soak.clients import Ending, KeptConnectionClient, SentRequest
+from tests.soak.signals import send_signal
 from tests.soak.troubles import Trouble, TroubleKind, draw_troubles
 
 READY_TIMEOUT_S = 60.0
@@ -118,7 +118,7 @@
         if not node.running:
             self._result.faults.append(f"{node.name} ended by itself with {node.process.returncode}")
         if trouble.kind is TroubleKind.RELOAD:
-            node.process.send_signal(signal.SIGHUP)
+            send_signal(node.process, signal.SIGHUP)
             return
         self._busy.add(node.name)
         try:
@@ -137,11 +137,10 @@
             self._killed_at.setdefault(node.name, []).append(loop.time())
             await self._scene.fleet.kill(node.name)
             return
-        process.send_signal(signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         if kind is TroubleKind.STOP_TWICE:
             await asyncio.sleep(RESTART_PAUSE_S)
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 code = await process.wait()
