An edge counts the bodies that it forwards, and no longer looks at all connections for each

What callers saw: with a crowd of 2,600 clients at an edge of 118 MB and 4,100 descriptors (a deployment of 194 edges), ordinary requests had no answer within 30 s (trials on with 64 KiB chunks, short headers, a length short of a byte; answered with chunks of 16 bytes).

Cause, from a profile of the edge: 34 of 42 s were spent in Listener.may_stream, which listed what each of some 2,400 connections holds for each body that began to be forwarded.

Change: the listener keeps the connections that forward a body, and weighs only these once too many are forwarded.

--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -115,6 +115,7 @@
     readiness_only: Queue  # idle, and only readiness has been requested
     lingering: Queue  # closing after the last response
     paused: set[ClientConnection]  # reading is paused, so that a disconnect has to be polled for
+    forwarding: set[ClientConnection]  # forwarding a body that is still arriving
 
     def relieve(self) -> None:
         """Have connections give way: the budget is spent."""
@@ -363,6 +364,7 @@
         if received is not None:
             self._charge_message(message, -received.size)  # the stream charges it
         self._stream = message.stream = Body(self._budget, self._length, self._on_body_drained, received)
+        self._listener.forwarding.add(self)
         message.came = self._loop.time()
         self._start_request(message)
 
@@ -473,9 +475,14 @@
         active, self._active = self._active, None
         if active is not None:
             self._listener.service.hangup(active)
+        self._drop_stream()
+
+    def _drop_stream(self) -> None:
+        """Discard the rest of a body that is being forwarded."""
         if self._stream is not None:
             self._stream.drop()
             self._stream = None
+            self._listener.forwarding.discard(self)
 
     def pause_writing(self) -> None:
         """Start no further request and pause the streamed response: the client does not read."""
@@ -600,6 +607,7 @@
         message.complete = True
         stream, self._stream = self._stream, None
         if stream is not None:
+            self._listener.forwarding.discard(self)
             self._listener.move(self, None)
             self._listener.service.complete(message)
             stream.finish()
@@ -781,9 +789,7 @@
         self._body = None
         self._message = None
         self._charge(-self._buffered_bytes)
-        if self._stream is not None:
-            self._stream.drop()
-            self._stream = None
+        self._drop_stream()
         self._parser = None
         self._listener.paused.discard(self)
         transport = self._transport
@@ -814,10 +820,6 @@
         """Return whether a finely chunked body waits for its next turn."""
         return self._is_deferred
 
-    def is_forwarding(self) -> bool:
-        """Return whether a body that is still arriving is being forwarded."""
-        return self._stream is not None
-
     def has_charged_unsent(self) -> bool:
         """Return whether bytes of a response are charged to the budget."""
         return self._unsent_bytes > 0
--- a/rosechute/proxy/http1/listener.py
+++ b/rosechute/proxy/http1/listener.py
@@ -6,7 +6,7 @@
 import errno
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from rosechute.proxy.core.address import Address
@@ -105,6 +105,7 @@
         self.readiness_only: Queue = {}  # idle, and only readiness has been requested
         self.lingering: Queue = {}  # closing after the last response
         self.paused: set[ClientConnection] = set()  # reading is paused
+        self.forwarding: set[ClientConnection] = set()  # forwarding a body that is still arriving
         self._is_polling = False  # the poll for disconnects of these is scheduled
         self._opening: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
@@ -361,7 +362,7 @@
         for connection in _entered_before(self.lingering, now - EVICT_STALLED_S):
             self._close_evicted(connection)
             return True
-        forwarded = who_makes_room(self._holdings(), EVICT_FORWARDED_S) or self._longest_deferred(now)
+        forwarded = who_makes_room(self._holdings(self.connections), EVICT_FORWARDED_S) or self._longest_deferred(now)
         if forwarded is None:
             return False
         self._shed(forwarded)
@@ -375,13 +376,13 @@
                 return connection
         return None
 
-    def _holdings(self) -> list[Holding[ClientConnection]]:
-        """Return what each connection holds."""
+    def _holdings(self, connections: Iterable[ClientConnection]) -> list[Holding[ClientConnection]]:
+        """Return what each of these connections holds."""
         assert self._loop is not None
         now = self._loop.time()
         return [
             Holding(c, c.standing(now), c.held_bytes(), now - max(c.last_read_at, c.last_written_at))
-            for c in self.connections
+            for c in connections
         ]
 
     def _shed(self, connection: ClientConnection) -> None:
@@ -399,7 +400,7 @@
 
     def relieve(self) -> None:
         """Have connections give way until the budget is no longer spent."""
-        closed = who_gives_way(self._holdings(), self.budget.excess)
+        closed = who_gives_way(self._holdings(self.connections), self.budget.excess)
         for connection in closed:
             self._shed(connection)
         if closed:
@@ -421,10 +422,9 @@
 
         Each holds a connection to a server. Those of clients that have stalled give way.
         """
-        streaming = [one for one in self._holdings() if one.holder.is_forwarding()]
-        if len(streaming) < max(1, self.max_connections // STREAMED_BODIES_DIVISOR):
+        if len(self.forwarding) < max(1, self.max_connections // STREAMED_BODIES_DIVISOR):
             return True
-        stalled = who_makes_room(streaming, EVICT_STALLED_S)
+        stalled = who_makes_room(self._holdings(self.forwarding), EVICT_STALLED_S)
         if stalled is None:
             return False
         self._shed(stalled)
--- a/tests/crowds/test_crowd_edge.py
+++ b/tests/crowds/test_crowd_edge.py
@@ -16,6 +16,8 @@
 SIZE = 200
 SILENT_SIZE = 700  # more than a process has descriptors
 SERIES = 3
+# An edge of a large deployment, and a crowd of more connections than it has places for clients.
+LARGE_MEMORY_MB, LARGE_MAX_FDS, LARGE_SIZE = 118, 4100, 2600
 MAX_HEAD_BYTES = int(CONFIGURATION["limits"]["max_header_bytes"])
 MAX_BODY_BYTES = int(CONFIGURATION["limits"]["max_body_bytes"])
 IDS = ("X-Rosechute-Request-Id: crowd", "X-Rosechute-Deadline-Ms: 8000")
@@ -68,6 +70,26 @@
     asyncio.run(crowds_come_and_go(FRONT_PORT, FRONT_SCRIPTS[shape]))
 
 
+LARGE_CROWD_SHAPES = (
+    "chunks of 16 bytes",
+    "chunks of 64 KiB",
+    "length without its last byte",
+    "many short headers",
+)
+
+
+@pytest.mark.parametrize("shape", LARGE_CROWD_SHAPES)
+def test_large_crowd_at_the_front(shape):
+    async def scenario():
+        limits = (LARGE_MEMORY_MB, LARGE_MAX_FDS)
+        async with deployment(*limits) as fleet, bounded(fleet.edge, *limits):
+            async with Crowd((fleet.edge.ip, FRONT_PORT), FRONT_SCRIPTS[shape], LARGE_SIZE):
+                await everyone_is_answered(fleet)
+            await everyone_is_answered(fleet)
+
+    asyncio.run(scenario())
+
+
 def test_crowds_in_series_at_the_front():
     asyncio.run(crowds_come_and_go(FRONT_PORT, FRONT_SCRIPTS["chunks of 1 byte"], series=SERIES))
 
