--- a/tests/crowds/watch.py
+++ b/tests/crowds/watch.py
@@ -30,6 +30,11 @@
         )
 
 
+def resident_bytes(pid: int) -> int:
+    """Return the resident size of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
 class Watch(threading.Thread):
     """Samples one process until `stop`.
 
@@ -68,7 +73,7 @@
 
     def _sample(self) -> None:
         unread = self._unread_bytes()
-        resident = int(Path(f"/proc/{self._pid}/statm").read_text().split()[1]) * PAGE_BYTES
+        resident = resident_bytes(self._pid)
         peaks = self.peaks
         peaks.memory_bytes = max(peaks.memory_bytes, resident + unread)
         peaks.unread_bytes = max(peaks.unread_bytes, unread)
