Memory guard: free memory goes back to the system, budgets follow the resident size

Callers saw: after a crowd outside the limits a process kept most of its memory, and the next crowd could take it over memory_mb, which ends it.

Cause: the budgets bound the payload, not the process. Freed memory stays inside the C heap (117 to 124 MB of an edge of 260) below blocks that are in use, and transports of closed connections wait for the cycle collector and pin the interpreter's arenas.

Change: edge, core and sidecar compare their resident size with the limit twice a second. After growth by a 16th of the limit, or once so much payload is gone, they collect and trim; from half of the limit on, the budget of requests is bounded by what is left of 85 %, with the bytes that clients' sockets hold unread. New metrics and a log line, one for each hypothesis of the incident.

--- a/rosechute/data_plane/plane.py
+++ b/rosechute/data_plane/plane.py
@@ -120,6 +120,10 @@
         await self._shutdown.finish()
         self.pool.close_all_idle()
 
+    def unread_bytes(self) -> int:
+        """Return the bytes that clients have sent and this process has not read."""
+        return self.client_listener.listener.unread_bytes()
+
     def clients(self) -> ClientStatistics:
         """Return statistics of this edge's clients."""
         version = 0 if self._active_configuration is None else self._active_configuration.configuration.config_version
--- a/rosechute/processes/core.py
+++ b/rosechute/processes/core.py
@@ -58,9 +58,11 @@
         self._listeners = ListenerSupervisor(log_listener_event)
         self._machine = CoreMachine(settings, state.add_to, self._listeners)
         self._resource_watch = ResourceWatch(settings)
-        self._settings_watch = SettingsWatch(settings, path, self._machine.change_settings)
+        self._settings_watch = SettingsWatch(settings, path, self._change_settings)
         state.add("core", self._machine.report)
-        self._metrics = MetricsServer(settings.ip, CORE_PORT, core_families(self._machine, self._listeners.failures))
+        self._metrics = MetricsServer(
+            settings.ip, CORE_PORT, core_families(self._machine, self._listeners.failures, self._resource_watch)
+        )
         self._stop_requested = asyncio.Event()
 
     async def run(self) -> int:
@@ -94,6 +96,10 @@
         await self._metrics.stop()
         await asyncio.wait_for(self._machine.stop(), SHUTDOWN_TIMEOUT_S)
 
+    def _change_settings(self, settings: ProcessSettings) -> None:
+        self._machine.change_settings(settings)
+        self._resource_watch.change_settings(settings)
+
     async def _wait_until_end(self) -> None:
         """Wait for a signal to end, or for a fault after which this process would not do its work."""
         ends = [asyncio.create_task(event.wait()) for event in (self._stop_requested, self._machine.has_failed)]
--- a/rosechute/processes/core_metrics.py
+++ b/rosechute/processes/core_metrics.py
@@ -12,7 +12,7 @@
 
 from rosechute.control_plane.core_machine import CoreMachine
 from rosechute.control_plane.core_report import CoreReport
-from rosechute.processes.metrics import Family, by_kind, process_families, shed_family, single
+from rosechute.processes.metrics import Family, ProcessResources, by_kind, process_families, shed_family, single
 
 MILLISECONDS_PER_S = 1e3
 
@@ -54,13 +54,16 @@
 
 
 def core_families(
-    machine: CoreMachine, listener_failures: Callable[[], Mapping[str, float]] = dict[str, float]
+    machine: CoreMachine,
+    listener_failures: Callable[[], Mapping[str, float]] = dict[str, float],
+    resources: ProcessResources | None = None,
 ) -> list[Family]:
     """Return the metrics of a core machine; those of its report are omitted until its records are loaded.
 
     Args:
         machine: The machine.
         listener_failures: Returns the failed attempts to open a listener, by listener.
+        resources: Resources of the process; None if they are not watched.
     """
     families = [
         Family(metric.name, metric.help_text, (), single(_report_reader(machine, metric.value)))
@@ -83,7 +86,7 @@
             single(lambda: float(machine.rate_leases_known())),
         )
     )
-    return families + process_families(listener_failures)
+    return families + process_families(listener_failures, resources)
 
 
 def _report_reader(machine: CoreMachine, value: ReportValue) -> Callable[[], float]:
--- a/rosechute/processes/edge.py
+++ b/rosechute/processes/edge.py
@@ -72,7 +72,6 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: ProcessSettings, path: str) -> None:
         self._settings = settings
         self._settings_watch = SettingsWatch(settings, path, self._change_settings)
-        self._resource_watch = ResourceWatch(settings)
         self._listeners = ListenerSupervisor(log_listener_event)
         self._stop_requested = asyncio.Event()
         self._links = EdgeLinks(loop, settings, secrets.randbits(63), self._apply)
@@ -80,10 +79,17 @@
         random = secrets.SystemRandom().random
         router = Router(random, RouterTuning(zone=settings.zone))
         self._plane = DataPlane(loop, settings, router, self._links.quota, self)
+        self._resource_watch = ResourceWatch(settings, self._plane.budget, self._plane.unread_bytes)
         self._state = ProcessState(settings)
         self._readiness_server = self._make_readiness_server()
         families = edge_families(
-            loop, self._plane, router, self._links, self._readiness_server.connections, self._listeners.failures
+            loop,
+            self._plane,
+            router,
+            self._links,
+            self._readiness_server.connections,
+            self._listeners.failures,
+            self._resource_watch,
         )
         self._metrics = MetricsServer(settings.ip, EDGE_PORT, families)
         self._state.add("distribution", self._distribution_state)
@@ -142,6 +148,7 @@
     def _change_settings(self, settings: ProcessSettings) -> None:
         self._plane.apply_settings(settings)
         self._links.change_settings(settings)
+        self._resource_watch.change_settings(settings)
 
     def _make_readiness_server(self) -> HttpServer:
         application = web.Application()
--- a/rosechute/processes/edge_metrics.py
+++ b/rosechute/processes/edge_metrics.py
@@ -9,7 +9,15 @@
 from rosechute.data_plane.plane import REJECTED, REQUESTS, DataPlane
 from rosechute.listening.connections import ConnectionTable
 from rosechute.processes.edge_links import BYTES_SENT, EdgeLinks
-from rosechute.processes.metrics import Family, Values, by_kind, process_families, shed_family, single
+from rosechute.processes.metrics import (
+    Family,
+    ProcessResources,
+    Values,
+    by_kind,
+    process_families,
+    shed_family,
+    single,
+)
 from rosechute.processes.quota_client import QUOTA_DECISIONS
 from rosechute.routing.router import ATTEMPTS, PROMPT_TOKENS, REJECTIONS, Router
 from rosechute.routing.sticky import STICKY_PICKS
@@ -22,6 +30,7 @@
     links: EdgeLinks,
     readiness: ConnectionTable | None = None,
     listener_failures: Callable[[], Mapping[str, float]] = dict[str, float],
+    resources: ProcessResources | None = None,
 ) -> list[Family]:
     """Return the metric families of one edge.
 
@@ -32,6 +41,7 @@
         links: Its links.
         readiness: Connections of its readiness address; None where it has none.
         listener_failures: Returns the failed attempts to open a listener, by listener.
+        resources: Resources of the process; None if they are not watched.
     """
     subscriber = links.subscriber
 
@@ -154,7 +164,7 @@
             single(confirmed_age_s),
         ),
     ]
-    return families + process_families(listener_failures)
+    return families + process_families(listener_failures, resources)
 
 
 def _requests(plane: DataPlane) -> Values:
--- a/rosechute/processes/metrics.py
+++ b/rosechute/processes/metrics.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from aiohttp import web
 from loguru import logger
@@ -48,6 +49,21 @@
         return "counter" if self.name.endswith("_total") else "gauge"
 
 
+class ProcessResources(Protocol):
+    """Resources of the process, as last checked."""
+
+    largest_delay_s: float
+    descriptors: int | None
+
+    @property
+    def resident_bytes(self) -> int:
+        """Resident memory."""
+
+    @property
+    def memory_releases_total(self) -> int:
+        """Releases of free memory since the start."""
+
+
 def by_kind(counts: Callable[[], Mapping[str, float]]) -> Callable[[], Values]:
     """Return a reader of counts with one label."""
     return lambda: {(kind,): value for kind, value in counts().items()}
@@ -73,12 +89,16 @@
     )
 
 
-def process_families(listener_failures: Callable[[], Mapping[str, float]]) -> list[Family]:
+def process_families(
+    listener_failures: Callable[[], Mapping[str, float]], resources: ProcessResources | None = None
+) -> list[Family]:
     """Return the families that edges and core processes have alike.
 
     Args:
         listener_failures: Returns the failed attempts to open a listener, by listener.
+        resources: Resources of the process; None if they are not watched.
     """
+    watched = _resource_families(resources) if resources is not None else []
     return [
         Family(
             "listener_failures_total",
@@ -92,6 +112,36 @@
             (),
             single(lambda: LOG_WRITER.dropped_total),
         ),
+        *watched,
+    ]
+
+
+def _resource_families(resources: ProcessResources) -> list[Family]:
+    return [
+        Family(
+            "resident_memory_bytes",
+            "Resident memory of the process at the last check.",
+            (),
+            single(lambda: resources.resident_bytes),
+        ),
+        Family(
+            "memory_releases_total",
+            "Releases of free memory to the system.",
+            (),
+            single(lambda: resources.memory_releases_total),
+        ),
+        Family(
+            "open_descriptors",
+            "Open descriptors of the process at the last check.",
+            (),
+            single(lambda: math.nan if resources.descriptors is None else resources.descriptors),
+        ),
+        Family(
+            "event_loop_largest_delay_seconds",
+            "Largest delay of a periodic check since the start.",
+            (),
+            single(lambda: resources.largest_delay_s),
+        ),
     ]
 
 
--- a/rosechute/processes/resource_watch.py
+++ b/rosechute/processes/resource_watch.py
@@ -1,4 +1,4 @@
-"""Log lines about the start, the end, the memory and the descriptors of a process.
+"""The start, the end, the memory and the descriptors of a process: log lines, figures, and the memory guard.
 
 They tell apart the reasons for which a process may end or be ended: see docs/fleet/run.md.
 """
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import platform
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -17,12 +19,13 @@
 
 from rosechute.configuration.process import ProcessSettings
 from rosechute.process_start import STARTED_AT_S
+from rosechute.proxy.core.memory_guard import CHECK_INTERVAL_S, MemoryConsumer, MemoryGuard
+from rosechute.proxy.core.process_memory import release_free_memory, resident_bytes
 
-INTERVAL_S = 2.0
+DESCRIPTOR_CHECKS = 4  # checks of the memory between two of the descriptors
 WARNING_SHARE = 0.8  # of a limit
 RECOVERED_SHARE = 0.7  # of a limit; below it the next warning is logged again
 MEGABYTE = 1 << 20
-PROCESS_MEMORY = Path("/proc/self/statm")  # in pages; the second number is the resident memory
 PROCESS_DESCRIPTORS = Path("/proc/self/fd")
 
 
@@ -35,7 +38,7 @@
 
 def current_usage() -> Usage:
     """Return the resources that this process uses now."""
-    return Usage(_memory_mb(), _descriptors())
+    return Usage(_memory_mb(), _count_descriptors())
 
 
 class _Limit:
@@ -54,32 +57,82 @@
 
 
 class ResourceWatch:
-    """Logs once when the memory or the descriptors of this process come near their limit.
+    """Keeps the memory of this process below its limit, and logs when its memory or descriptors come near theirs.
 
     Args:
         settings: Settings with the limits.
+        consumer: Holds memory for callers, and can be restricted; None if there is none.
+        read_unread: Returns the bytes that the kernel holds unread for this process.
+
+    Attributes:
+        largest_delay_s: Largest delay of a check since the start: for so long the event loop did nothing else.
+        descriptors: Open descriptors at the last check of them; None if unknown.
     """
 
-    def __init__(self, settings: ProcessSettings) -> None:
-        self._memory = _Limit(settings.limits.memory_mb)
-        self._descriptors = _Limit(settings.limits.max_fds)
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        consumer: MemoryConsumer | None = None,
+        read_unread: Callable[[], int] = int,
+    ) -> None:
+        limits = settings.limits
+        self._guard = MemoryGuard(limits.memory_mb, resident_bytes, release_free_memory, consumer, read_unread)
+        self._memory = _Limit(limits.memory_mb)
+        self._descriptors = _Limit(limits.max_fds)
+        self.largest_delay_s = 0.0
+        self.descriptors: int | None = None
+
+    @property
+    def resident_bytes(self) -> int:
+        """Resident memory at the last check."""
+        return self._guard.resident_bytes
+
+    @property
+    def memory_releases_total(self) -> int:
+        """Releases of free memory since the start."""
+        return self._guard.releases_total
+
+    def change_settings(self, settings: ProcessSettings) -> None:
+        """Use the limits of changed settings."""
+        self._guard.set_limit(settings.limits.memory_mb)
+        self._memory.limit = settings.limits.memory_mb
+        self._descriptors.limit = settings.limits.max_fds
 
     async def run(self) -> None:
-        """Check every `INTERVAL_S`, until cancelled."""
-        while True:
-            await asyncio.sleep(INTERVAL_S)
-            self.check(current_usage())
-
-    def check(self, usage: Usage) -> None:
-        """Compare the resources in use with the limits."""
-        if self._memory.is_neared(usage.memory_mb):
-            logger.warning(
-                "memory near its limit resident_mb={:.1f} limit_mb={}", usage.memory_mb, self._memory.limit
-            )
-        if self._descriptors.is_neared(usage.descriptors):
-            logger.warning(
-                "descriptors near their limit open={} limit={}", usage.descriptors, self._descriptors.limit
+        """Check every `CHECK_INTERVAL_S`, until cancelled."""
+        loop = asyncio.get_running_loop()
+        for number in itertools.count():
+            due_at = loop.time() + CHECK_INTERVAL_S
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.largest_delay_s = max(self.largest_delay_s, loop.time() - due_at)
+            self.check_memory()
+            if number % DESCRIPTOR_CHECKS == 0:
+                self.check_descriptors(_count_descriptors())
+
+    def check_memory(self) -> None:
+        """Release free memory if there is much, and restrict the consumer near the limit."""
+        check = self._guard.check()
+        if check is None:
+            return
+        resident_mb = check.resident_bytes / MEGABYTE
+        if check.released_bytes is not None:
+            logger.info(
+                "memory released resident_mb={:.1f} released_mb={:.1f}",
+                resident_mb,
+                check.released_bytes / MEGABYTE,
             )
+        self.warn_of_memory(resident_mb)
+
+    def warn_of_memory(self, resident_mb: float) -> None:
+        """Compare the resident memory with its limit."""
+        if self._memory.is_neared(resident_mb):
+            logger.warning("memory near its limit resident_mb={:.1f} limit_mb={}", resident_mb, self._memory.limit)
+
+    def check_descriptors(self, descriptors: int | None) -> None:
+        """Compare the open descriptors with their limit."""
+        self.descriptors = descriptors
+        if self._descriptors.is_neared(descriptors):
+            logger.warning("descriptors near their limit open={} limit={}", descriptors, self._descriptors.limit)
 
 
 def log_start(settings: ProcessSettings) -> None:
@@ -108,14 +161,11 @@
 
 
 def _memory_mb() -> float | None:
-    try:
-        pages = int(PROCESS_MEMORY.read_text(encoding="ascii").split()[1])
-    except (OSError, ValueError, IndexError):
-        return None
-    return pages * os.sysconf("SC_PAGE_SIZE") / MEGABYTE
+    resident = resident_bytes()
+    return None if resident is None else resident / MEGABYTE
 
 
-def _descriptors() -> int | None:
+def _count_descriptors() -> int | None:
     try:
         return len(os.listdir(PROCESS_DESCRIPTORS)) - 1  # less the one that reads the directory
     except OSError:
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -19,6 +19,7 @@
 MEMORY_OVERHEAD = 2  # allowance for bytes that are held twice for a moment, and for the event loop's buffers
 SPENT_SLACK_BYTES = MAX_SHARE_BYTES  # bytes over the total at which the budget counts as spent: one body's share
 RELIEF_DIVISOR = 8  # once spent, this fraction of the total is freed, so that the next bytes find room
+MIN_TOTAL_BYTES = 4 << 20  # bytes that may be held however little memory is left
 PIECE_BYTES = 4096  # shorter pieces of a body are joined: each object costs more than the bytes of a short one
 HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
@@ -31,12 +32,30 @@
     """
 
     def __init__(self, memory_mb: int) -> None:
-        self.resize(memory_mb, 1)
         self.used = 0
+        self._restricted_total: int | None = None
+        self.resize(memory_mb, 1)
 
     def resize(self, memory_mb: int, processes: int) -> None:
         """Set the memory limit, and the number of processes that share it."""
-        self.total = max(1, memory_mb // processes - PROGRAM_MB) * (1 << 20) // MEMORY_OVERHEAD
+        self._configured_total = max(1, memory_mb // processes - PROGRAM_MB) * (1 << 20) // MEMORY_OVERHEAD
+
+    @property
+    def total(self) -> int:
+        """Number of bytes that may be held now."""
+        if self._restricted_total is None:
+            return self._configured_total
+        return min(self._configured_total, self._restricted_total)
+
+    def restrict(self, free_bytes: int | None) -> None:
+        """Hold at most so many bytes more than now, as the process nears its memory limit; no restriction if None.
+
+        `MIN_TOTAL_BYTES` may always be held, so that single requests are served.
+        """
+        if free_bytes is None:
+            self._restricted_total = None
+        else:
+            self._restricted_total = max(MIN_TOTAL_BYTES, self.used + free_bytes // MEMORY_OVERHEAD)
 
     @property
     def is_spent(self) -> bool:
--- a/rosechute/proxy/http1/listener.py
+++ b/rosechute/proxy/http1/listener.py
@@ -12,6 +12,7 @@
 from rosechute.proxy.core.address import Address
 from rosechute.proxy.core.flow import Budget
 from rosechute.proxy.core.log import LOG
+from rosechute.proxy.core.process_memory import unread_bytes
 from rosechute.proxy.core.shedding import Holding, who_gives_way, who_makes_room
 from rosechute.proxy.core.turns import TurnQueue
 from rosechute.proxy.http1.client import ClientConnection, ConnectionLimits, Queue, Service
@@ -223,6 +224,10 @@
         """Return whether a response is not fully sent because its client reads slowly."""
         return any(connection.sending() for connection in self.connections)
 
+    def unread_bytes(self) -> int:
+        """Return the bytes that clients have sent and this process has not read."""
+        return unread_bytes(connection.descriptor() for connection in self.connections)
+
     # --- accepting
 
     def _accept(self) -> None:
--- a/rosechute/sidecar/sidecar.py
+++ b/rosechute/sidecar/sidecar.py
@@ -20,7 +20,9 @@
 from rosechute.proxy.core.listener_supervisor import ListenerEvent, ListenerFailed, ListenerSupervisor
 from rosechute.proxy.core.log import LOG, log_held_back
 from rosechute.proxy.core.log_writer import LOG_WRITER
+from rosechute.proxy.core.memory_guard import CHECK_INTERVAL_S, MemoryGuard
 from rosechute.proxy.core.ports import Ending, Limiter, Routes
+from rosechute.proxy.core.process_memory import release_free_memory, resident_bytes
 from rosechute.proxy.core.shares import descriptors
 from rosechute.proxy.http1.admission import RequestValidator
 from rosechute.proxy.http1.backend import HttpBackend
@@ -93,6 +95,9 @@
         )
         self._backend = HttpBackend(self._upstream)
         self._listener = Listener(self, 0, 0, self._budget)
+        self._memory_guard = MemoryGuard(
+            config.memory_mb, resident_bytes, release_free_memory, self._budget, self._listener.unread_bytes
+        )
         self.set_process_count(1)
         self._lines: dict[str, Line] = {}  # the current server list, by name
         self._list_version = -1
@@ -151,6 +156,7 @@
         if not wait:
             self.open_to_clients()
         self._schedule_held_back_log()
+        self._check_memory()
         return self._port
 
     def is_listening(self) -> bool:
@@ -170,6 +176,13 @@
         log_held_back()
         self._loop.call_later(HELD_BACK_INTERVAL_S, self._schedule_held_back_log)
 
+    def _check_memory(self) -> None:
+        """Check the memory of the process periodically; schedule the next check first, in case this one raises."""
+        self._loop.call_later(CHECK_INTERVAL_S, self._check_memory)
+        check = self._memory_guard.check()
+        if check is not None and check.released_bytes is not None:
+            LOG.info("memory.released", resident=check.resident_bytes, released=check.released_bytes)
+
     async def stop(self) -> None:
         """Accept requests while they may still arrive, answer all of them, and close idle connections.
 
@@ -263,6 +276,7 @@
         self._listener.resize(clients, sockets // 4)
         self._upstream.resize(servers)
         self._budget.resize(self._config.memory_mb, processes)
+        self._memory_guard.set_limit(self._config.memory_mb / processes)
 
     def _descriptor_limit(self) -> int:
         """Return the descriptor limit of this process, which may be lower than the configured one."""
@@ -364,8 +378,11 @@
     def figures(self) -> bytes:
         """Return the metrics as text."""
         listed, down = self.core.module.census(self.core.clock())
-        process = ProcessCounters(LOG_WRITER.dropped_total, int(sum(self._listeners.failures().values())))
-        return self._stats.render(Gauges(self.core.taken, listed, down), process)
+        guard = self._memory_guard
+        process = ProcessCounters(
+            LOG_WRITER.dropped_total, int(sum(self._listeners.failures().values())), guard.releases_total
+        )
+        return self._stats.render(Gauges(self.core.taken, listed, down, guard.resident_bytes), process)
 
     def routes(self) -> bytes | None:
         """Return limits and metrics of the operator's routes; None without an operator's file."""
--- a/rosechute/sidecar/stats.py
+++ b/rosechute/sidecar/stats.py
@@ -15,6 +15,7 @@
     inflight: int
     hosts_listed: int
     hosts_down: int
+    resident_memory_bytes: int = 0
 
 
 class ProcessCounters(NamedTuple):
@@ -22,6 +23,7 @@
 
     log_lines_dropped: int = 0
     listener_failures: int = 0
+    memory_releases: int = 0
 
 
 NO_COUNTERS = ProcessCounters()
@@ -72,6 +74,7 @@
             "reconfig_failed_total": self.reconfig_failed,
             "log_lines_dropped_total": process.log_lines_dropped,
             "listener_failures_total": process.listener_failures,
+            "memory_releases_total": process.memory_releases,
         }
         for key, value in counters.items():
             yield f"# TYPE {PREFIX}_{key} counter"
--- a/tests/fleet/test_processes_resource_watch.py
+++ b/tests/fleet/test_processes_resource_watch.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import msgspec
 from loguru import logger
 
 from rosechute.configuration.process import ProcessLimits, ProcessSettings
 from rosechute.processes import resource_watch
-from rosechute.processes.resource_watch import ResourceWatch, Usage, current_usage
+from rosechute.processes.resource_watch import ResourceWatch, current_usage
+from rosechute.proxy.core import process_memory
 
 
 class ResourceWatchTest(unittest.TestCase):
@@ -23,7 +25,7 @@
 
     def test_memory_near_its_limit_is_logged_once_until_it_has_fallen(self) -> None:
         for memory_mb in (79.0, 81.0, 90.0, 75.0, 85.0, 60.0, 85.0):
-            self.watch.check(Usage(memory_mb, 10))
+            self.watch.warn_of_memory(memory_mb)
         self.assertEqual(
             self.lines,
             [
@@ -32,12 +34,22 @@
             ],
         )
 
+    def test_release_of_memory_is_logged(self) -> None:
+        self.watch.check_memory()
+        kept = [bytes(4096) for _ in range(4096)]
+        self.watch.check_memory()
+        self.assertRegex(self.lines[0], r"^memory released resident_mb=\d+\.\d released_mb=-?\d+\.\d$")
+        self.assertEqual(self.watch.memory_releases_total, 1)
+        self.assertGreater(self.watch.resident_bytes, len(kept) * 4096)
+
     def test_descriptors_near_their_limit_are_logged(self) -> None:
-        self.watch.check(Usage(1.0, 800))
+        self.watch.check_descriptors(800)
         self.assertEqual(self.lines, ["descriptors near their limit open=800 limit=1000"])
 
     def test_unknown_usage_is_no_reason_for_a_line(self) -> None:
-        self.watch.check(Usage(None, None))
+        self.watch.check_descriptors(None)
+        with mock.patch.object(process_memory, "STATM_PATH", "/nowhere"):
+            self.watch.check_memory()
         self.assertEqual(self.lines, [])
 
     def test_usage_of_this_process_is_known_on_linux(self) -> None:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -137,7 +137,7 @@
     async def scenario():
         body = random_bytes(MIN_SHARE_BYTES * 3)
         async with Server(respond_with_digest) as server, sidecar(line("s1", server.port)) as world:
-            world.sidecar._budget.total = 0  # each body gets only the minimum
+            world.sidecar._budget._configured_total = 0  # each body gets only the minimum
             client = await world.client()
             await client.send(head(len(body)) + body)  # one read, several pieces
             status, _, answer = await client.answer()
