Pipelined requests take turns, and those of a lost connection are not handled

Callers saw: after a crowd of pipelined requests an edge did nothing else for up to 14 s: no readiness, no heartbeat, no confirmation; all edges of a fleet do so at once. It also held the crowd's memory for as long.

Cause: a read of 128 KB holds a thousand short requests, and those that are answered at once were all handled in it, for every connection in one iteration of the loop; also after the write to the client had failed, with a log line each.

Change: four requests of a read are handled at once; the others take turns with other connections, one an iteration. Parsing stops once the connection is closing.

--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -44,6 +44,9 @@
 SHED_STATUS = 503  # response to a request that gives way; it promises that the request was not executed
 SHED_RETRY_AFTER = b"1"  # seconds
 CUT_STATUS = 502  # the same after a server has got a part of the request; it promises nothing
+MAX_STARTED_PER_READ = (
+    4  # requests of one read that are handled at once; later ones take turns with other connections
+)
 MAX_PIPELINED = 8  # pipelined requests that are parsed ahead; further ones stay unparsed or in the kernel
 # Statuses after which the connection closes: what follows such a request is likely to be invalid, too.
 CLOSING_STATUSES = frozenset({400, 404, 405, 408, 409, 413, 417, 431})
@@ -191,6 +194,7 @@
         self._limits = listener.limits
         self._active: Message | None = None  # the request whose response is due
         self._pipelined: deque[Message] = deque()  # requests received ahead of the response before them
+        self._started_requests = 0  # requests of the data being parsed that were handled at once
         self._length: int | None = None
         self._stream: Body | None = None  # streamed body of the request being received
         self._buffered_bytes = 0  # bytes of buffered bodies
@@ -271,7 +275,8 @@
     def _parse_pieces(self, data: bytes, start: int = 0) -> None:
         """Parse data from an offset on, in pieces, until enough requests are pending; keep the rest."""
         at = start
-        while at < len(data) and not self._discards_input:
+        self._started_requests = 0
+        while at < len(data) and not self._discards_input and not self._is_closing():
             if self._should_pause():
                 self._keep_unparsed(data, at)
                 self._pause()
@@ -293,6 +298,10 @@
         if (self._active is None or self._stream is not None) and not self._discards_input:
             self._listener.move(self, self._idle_queue())
 
+    def _is_closing(self) -> bool:
+        """Return whether the connection is lost or closing: what was read of it needs no response any more."""
+        return self._transport is None or self._transport.is_closing()
+
     def _is_finely_chunked(self) -> bool:
         """Return whether the body that is being received has many short chunks."""
         return not self._in_head and self._framing_bytes > self._size + self._size // FINE_FRAMING_DIVISOR
@@ -615,10 +624,18 @@
         if self._body is not None:
             message.body = self._body.join()
         self._body = None
-        if self._active is None and not self._pipelined and not self._is_write_paused:
+        self._start_or_queue(message)
+
+    def _start_or_queue(self, message: Message) -> None:
+        """Handle a complete request now, in a later turn of the event loop, or once those before it are answered."""
+        if self._active is not None or self._pipelined or self._is_write_paused:
+            self._pipelined.append(message)
+        elif self._started_requests < MAX_STARTED_PER_READ:
+            self._started_requests += 1
             self._start_request(message)
         else:
             self._pipelined.append(message)
+            self._loop.call_soon(self._start_next)
 
     # --- responses
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
+from collections import Counter
 
 import pytest
 from backend import Call, Client, Conversation, Server, line, ok, play, sidecar
 
 from rosechute.proxy.http1 import client as client_side
 from rosechute.proxy.http1 import listener
-from rosechute.proxy.http1.client import MAX_HEAD, MAX_PIPELINED
+from rosechute.proxy.http1.client import MAX_HEAD, MAX_PIPELINED, MAX_STARTED_PER_READ
 
 HEAD = b"GET /free HTTP/1.1\r\nHost: app\r\nX-Request-ID: %s\r\nX-Timeout: 5\r\n"
 POST = b"POST /single_shot HTTP/1.1\r\nHost: app\r\nX-Request-ID: p1\r\nX-Timeout: 5\r\n"
@@ -336,3 +337,47 @@
             assert (await client.answer())[0] == 400
 
     play(scenario)
+
+
+def test_pipelined_requests_of_one_read_do_not_hold_up_the_event_loop():
+    """A crowd's reads of a thousand requests each stopped the loop of an edge for 14 s."""
+
+    async def scenario():
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            loop, turn, handled = asyncio.get_running_loop(), 0, Counter()
+
+            def count_turn():
+                nonlocal turn
+                turn += 1
+                loop.call_soon(count_turn)
+
+            def refuse(message):
+                handled[turn] += 1
+                message.reply(429)
+
+            count_turn()
+            world.sidecar.request = refuse
+            client = await world.client()
+            await client.send((HEAD % b"a" + b"\r\n") * 100)
+            assert {(await client.answer())[0] for _ in range(100)} == {429}
+            assert max(handled.values()) <= MAX_STARTED_PER_READ
+
+    play(scenario)
+
+
+def test_pipelined_requests_of_a_lost_connection_are_not_handled():
+    async def scenario():
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            handled = []
+
+            def lose_connection(message):
+                handled.append(message)
+                message.connection.abort()
+
+            world.sidecar.request = lose_connection
+            client = await world.client()
+            await client.send((HEAD % b"a" + b"\r\n") * 100)
+            await read_until_closed(client)
+            assert len(handled) == 1
+
+    play(scenario)
