Soak: crowds of clients outside the limits come between signals and restarts

A third schedule, with random numbers of its own so that the series of the other kinds stay as they were for a seed, sends a crowd of 60 to the main listener of an edge or a core: heads without end, bodies left open, noise, a length prefix, pipelined requests whose answers nobody reads. The scripts are shared with the test of resident memory.

--- a/tests/crowds/shapes.py
+++ b/tests/crowds/shapes.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from crowds.crowd import Script
+import random
+
+from tests.crowds.crowd import Script
 
 CHUNKED = "Transfer-Encoding: chunked"
 KILOBYTE, MEGABYTE = 1 << 10, 1 << 20
+NOISE_BYTES = 150_000
+BODY_BYTES, DECLARED_BODY_BYTES = 200_000, 4 * MEGABYTE
+UNREAD = "pipelined"  # the shape of `one_of_each` whose clients read nothing
 
 
 def head(first_line: str, *lines: str) -> bytes:
@@ -58,3 +63,14 @@
 def refused_then_more(start: bytes) -> Script:
     """Return a request that is refused, and bytes that go on after it."""
     return (start, b"x" * (8 * MEGABYTE))
+
+
+def one_of_each(first_line: str, *lines: str) -> dict[str, Script]:
+    """Return one script of each kind for a listener that accepts heads of these lines."""
+    return {
+        "heads": (head(first_line, *lines)[:-2] + b"a:b\r\n" * 4000,),
+        "bodies": body_with_length(head(first_line, *lines, f"Content-Length: {DECLARED_BODY_BYTES}"), BODY_BYTES),
+        "noise": (random.Random(1).randbytes(NOISE_BYTES),),
+        "length prefix": ((2 << 30).to_bytes(4, "big") + b"x" * 100,),
+        UNREAD: pipelined(head(first_line, *lines, "Content-Length: 0"), 3000),
+    }
--- a/tests/crowds/test_resident_memory.py
+++ b/tests/crowds/test_resident_memory.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import AsyncIterator
 
 import pytest
 
-from crowds import shapes
 from crowds.crowd import Crowd, Script
 from crowds.deployment import bounded, bounded_process, deployment
-from crowds.shapes import MEGABYTE, head
+from crowds.shapes import MEGABYTE, UNREAD, one_of_each
 from crowds.test_crowd_sidecar import MAX_SOCKETS, sidecar_process
 from crowds.test_crowd_sidecar import MEMORY_MB as SIDECAR_MEMORY_MB
 from crowds.watch import resident_bytes
@@ -25,25 +23,9 @@
 SERIES = 2
 RETURN_DIVISOR = 8  # of the limit: what may stay of a series
 EDGE_LIMITS, CORE_LIMITS = (260, 4100), (296, 4096)  # memory in megabytes, and descriptors
-NOISE_BYTES = 150_000
-BODY_BYTES, DECLARED_BODY_BYTES = 200_000, 4 * MEGABYTE
-UNREAD = "pipelined"  # the shape whose clients read nothing
-
-
-def scripts(post: str, *fields: str) -> dict[str, Script]:
-    """Return one script of each shape for a listener that accepts `post` with these header lines."""
-    return {
-        "heads": (head(post, *fields)[:-2] + b"a:b\r\n" * 4000,),
-        "bodies": shapes.body_with_length(head(post, *fields, f"Content-Length: {DECLARED_BODY_BYTES}"), BODY_BYTES),
-        "noise": (random.Random(1).randbytes(NOISE_BYTES),),
-        "length prefix": ((2 << 30).to_bytes(4, "big") + b"x" * 100,),
-        UNREAD: shapes.pipelined(head(post, *fields, "Content-Length: 0"), 3000),
-    }
-
-
-FRONT_SCRIPTS = scripts("POST /plain/1", "X-Rosechute-Request-Id: crowd", "X-Rosechute-Deadline-Ms: 8000")
-CONTROL_SCRIPTS = scripts("POST /config/replace", "X-Rosechute-Base-Version: 1")
-SIDECAR_SCRIPTS = scripts("POST /single_shot", "X-Request-ID: crowd", "X-Timeout: 5")
+FRONT_SCRIPTS = one_of_each("POST /plain/1", "X-Rosechute-Request-Id: crowd", "X-Rosechute-Deadline-Ms: 8000")
+CONTROL_SCRIPTS = one_of_each("POST /config/replace", "X-Rosechute-Base-Version: 1")
+SIDECAR_SCRIPTS = one_of_each("POST /single_shot", "X-Request-ID: crowd", "X-Timeout: 5")
 
 
 @contextlib.asynccontextmanager
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,11 +17,13 @@
 
 from rosechute.configuration.process import split_address
 from rosechute.fakes.fleet import words
-from rosechute.fakes.fleet.processes import FleetNode
+from rosechute.fakes.fleet.processes import CONTROL_PORT, FRONT_PORT, FleetNode
 from rosechute.fakes.fleet.scene import FleetDeployment
+from tests.crowds.crowd import Crowd
+from tests.crowds.shapes import UNREAD, one_of_each
 from tests.crowds.watch import MEGABYTE, Watch
 from tests.soak.addresses import listening_addresses
-from tests.soak.clients import Ending, KeptConnectionClient, SentRequest
+from tests.soak.clients import PATH, Ending, KeptConnectionClient, SentRequest
 from tests.soak.log_destinations import LogDestination, log_destination
 from tests.soak.signals import catches_signal, send_signal, wait_for_handlers, would_end
 from tests.soak.troubles import Trouble, TroubleKind, draw_troubles
@@ -35,6 +37,12 @@
 WATCH_INTERVAL_S = 0.5
 HELD_S = (0.2, 2.0)  # for which an address is held after a start
 EARLY_S = (0.0, 0.8)  # from the first handler of signals to an early end
+CROWD_SIZE = 60
+CROWD_STAY_S = 1.0  # for which a crowd stays once it has sent what it could
+CROWD_SCRIPTS = {
+    "edge": one_of_each(f"POST {PATH}", f"{words.REQUEST_ID}: crowd", f"{words.DEADLINE_MS}: 8000"),
+    "core": one_of_each("POST /config/replace", f"{words.BASE_VERSION}: 1"),
+}
 SERIES_LENGTH = 40
 SERIES_PAUSE_S = 0.005
 
@@ -81,6 +89,7 @@
         self._busy: set[str] = set()  # processes that are being stopped or started
         self._clients: list[KeptConnectionClient] = []
         self._changing = asyncio.Lock()
+        self._crowding = asyncio.Lock()
         self._watches: list[tuple[FleetNode, Watch]] = []
 
     async def run(self) -> SoakResult:
@@ -132,6 +141,9 @@
             await self._change_configuration()
             return
         node = self._scene.fleet.nodes[trouble.node]
+        if trouble.kind is TroubleKind.CROWD:
+            await self._crowd(node)
+            return
         if node.name in self._busy or node.process is None:
             return
         self._check_running(node)
@@ -147,6 +159,16 @@
         finally:
             self._busy.discard(node.name)
 
+    async def _crowd(self, node: FleetNode) -> None:
+        """Have a crowd at the main listener of a process, whatever else befalls it; one crowd at a time."""
+        if self._crowding.locked():
+            return
+        async with self._crowding:
+            shape, script = self._random.choice(list(CROWD_SCRIPTS[node.role].items()))
+            address = (node.ip, FRONT_PORT if node.role == "edge" else CONTROL_PORT)
+            async with Crowd(address, script, CROWD_SIZE, reads=shape != UNREAD):
+                await asyncio.sleep(CROWD_STAY_S)
+
     async def _restart(self, node: FleetNode, kind: TroubleKind) -> None:
         await self._end(node, kind)
         await asyncio.sleep(RESTART_PAUSE_S)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -23,10 +23,12 @@
     HELD_ADDRESS = "held address"  # SIGTERM, and a new start while another socket holds one of its addresses
     EARLY_END = "early end"  # a stop, and a further SIGTERM or SIGINT soon after the new start
     SIGNALS = "signals"  # a series of signals that end nothing
+    CROWD = "crowd"  # clients outside the limits, who stay for a moment
 
 
 FLEET_KINDS = (TroubleKind.STOP, TroubleKind.STOP_TWICE, TroubleKind.KILL, TroubleKind.RELOAD, TroubleKind.CHANGE)
 PROCESS_KINDS = (TroubleKind.HELD_ADDRESS, TroubleKind.EARLY_END, TroubleKind.SIGNALS)
+CROWD_KINDS = (TroubleKind.CROWD,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,8 @@
     """Return the troubles of a run of this length, in order. Each group of kinds has a schedule of its own."""
     fleet = _draw_series(random.Random(seed), FLEET_KINDS, nodes, seconds)
     processes = _draw_series(random.Random(f"processes {seed}"), PROCESS_KINDS, nodes, seconds)
-    return sorted(fleet + processes, key=lambda trouble: trouble.at)
+    crowds = _draw_series(random.Random(f"crowds {seed}"), CROWD_KINDS, nodes, seconds)
+    return sorted(fleet + processes + crowds, key=lambda trouble: trouble.at)
 
 
 def _draw_series(
