Sidecar: a start script sets its handlers of signals before site and runpy are loaded

Cause: the platform started the sidecar by `python -m`, so that the interpreter loaded site, the environment's path files and runpy before the first line of ours. A SIGHUP, SIGTERM or SIGINT in that time ended the process by its number.

deploy/start_sidecar.py, run with -S, takes the first steps, then adds the environment's libraries to the path. The test of the fleet's commands covers the sidecar's; the tests with real sidecars start them as they are deployed.

--- a/tests/crowds/test_crowd_sidecar.py
+++ b/tests/crowds/test_crowd_sidecar.py
@@ -88,8 +88,8 @@
         )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "rosechute.sidecar",
+            "-S",
+            "deploy/start_sidecar.py",
             cwd=ROOT,
             env={**os.environ, **write_config(folder, raw)},
             stderr=asyncio.subprocess.PIPE,
--- a/tests/fleet/test_deploy_files.py
+++ b/tests/fleet/test_deploy_files.py
@@ -64,8 +64,10 @@
     def test_signals_are_handled_before_the_program_loads_anything_else(self) -> None:
         """A signal that arrives earlier ends the process by its default action."""
         bare = loaded_modules("-c", "pass")
-        for role in read(DEPLOY / "system.toml")["roles"].values():
-            _, _, *command = role["run"].split()
+        roles = [role["run"] for role in read(DEPLOY / "system.toml")["roles"].values()]
+        for run in (*roles, read(DEPLOY / "balancer.toml")["run"].removeprefix("exec ")):
+            _, option, *command = run.split()
+            self.assertEqual(option, "-S")
             loaded = loaded_modules(*command)
             before = loaded[: loaded.index("rosechute.process_start")]
             self.assertLessEqual(set(before) - set(bare), ALLOWED_BEFORE_SIGNALS)
--- a/tests/soak/launching.py
+++ b/tests/soak/launching.py
@@ -24,6 +24,7 @@
 
 NOBODY = "127.0.0.1:9"  # no platform and no discovery listens there
 RETRY_S = 0.02
+SIDECAR_COMMAND = ("-S", "deploy/start_sidecar.py")
 
 
 class Program(enum.Enum):
@@ -84,7 +85,7 @@
     listen, control = (f"{host}:{port}" for host, port in addresses.values())
     path = folder / "config.json"
     path.write_bytes(msgspec.json.encode(config(listen=listen, control=control)))
-    return Launch(Program.SIDECAR, path, "NODE_CONFIG", addresses, "control", "/stats")
+    return Launch(Program.SIDECAR, path, "NODE_CONFIG", addresses, "control", "/stats", SIDECAR_COMMAND)
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -56,8 +56,8 @@
         }
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "rosechute.sidecar",
+            "-S",
+            "deploy/start_sidecar.py",
             cwd=ROOT,
             env=env,
             pass_fds=[self.socket.fileno()],
