Front: receive buffers stay in proportion to memory, and are never narrowed

What callers saw: 2,600 clients outside the limits took an edge of 118 MB to 142 to 177 MB, 66 to 92 MB of them unread in the kernel; the platform ends such a process.

Cause: every connection beyond the first ones could have 16 KB (32 KB in the kernel) unread, however little memory there is, and connections that wait to be accepted had what the listening socket allowed. A connection that was narrowed at its accept nearly stopped besides (trial on loopback: 0.2 MB/s after 128 KB, 186 MB/s and more for 2 KB that is kept or widened).

Large buffers now have one half of what the kernel may hold, medium ones the other, further ones 2 KB. The listening socket has the smallest size, which accepted connections inherit, and buffers are only widened. Sizes have a module of their own; links and other listeners keep their 16 KB floor.

The new test failed on the code before.

--- a/rosechute/listening/limits.py
+++ b/rosechute/listening/limits.py
@@ -4,10 +4,8 @@
 
 from dataclasses import dataclass
 
-from rosechute.proxy.core.flow import MIN_RECEIVE_BUFFER_BYTES
-
 MEGABYTE = 1 << 20
-MAX_RECEIVE_BUFFER_BYTES = 64 * 1024
+MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES = 16 * 1024, 64 * 1024
 MEMORY_DIVISOR = 8  # a listener with large messages may hold this fraction of the memory of its process
 MIN_LARGE_MEMORY_BYTES = 24 * MEGABYTE  # the largest message, while it is received and copied once
 SMALL_MEMORY_BYTES = 4 * MEGABYTE  # of a listener whose requests have no body
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-RECEIVE_BUFFER_BYTES = 128 * 1024  # largest kernel receive buffer of a connection, and so the most one read returns
-MIN_RECEIVE_BUFFER_BYTES = 16 * 1024
-KERNEL_BUFFER_FACTOR = 2  # the kernel doubles the size that it is asked for
+from rosechute.proxy.core.receive_buffers import receive_buffer_bytes
+
 UNREAD_DIVISOR = 2  # the kernel may hold this fraction of the budget in receive buffers that are not read yet
 MIN_SHARE_BYTES = (
     16 * 1024
@@ -68,13 +67,8 @@
         return self.used - self.total + self.total // RELIEF_DIVISOR
 
     def receive_buffer(self, connections: int) -> int:
-        """Return the size of the kernel's receive buffer for a connection beside so many others, in bytes.
-
-        What has arrived and was not read counts as memory of the process, so it is bounded as bodies are: a few
-        connections get much and many get little.
-        """
-        free = self.total // UNREAD_DIVISOR - connections * RECEIVE_BUFFER_BYTES * KERNEL_BUFFER_FACTOR
-        return min(RECEIVE_BUFFER_BYTES, max(MIN_RECEIVE_BUFFER_BYTES, free // SHARE_DIVISOR))
+        """Return the size of the kernel's receive buffer for a connection beside so many others, in bytes."""
+        return receive_buffer_bytes(self.total // UNREAD_DIVISOR, connections)
 
     def take(self, size: int) -> None:
         """Record that `size` more bytes are held."""
--- a/rosechute/proxy/http1/connection.py
+++ b/rosechute/proxy/http1/connection.py
@@ -11,7 +11,8 @@
 
 import httptools
 
-from rosechute.proxy.core.flow import RECEIVE_BUFFER_BYTES, Body, Budget, Sink
+from rosechute.proxy.core.flow import Body, Budget, Sink
+from rosechute.proxy.core.receive_buffers import LARGE_RECEIVE_BUFFER_BYTES
 from rosechute.proxy.http1 import quick
 
 MAX_BODY = 33 << 20  # bytes of a streamed response; 32 MB are guaranteed
@@ -131,7 +132,7 @@
         # With a high-water mark of 0, pause_writing is called whenever the kernel accepts only part of a write.
         self._transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LARGE_RECEIVE_BUFFER_BYTES)
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN)
 
--- a/rosechute/proxy/http1/listener.py
+++ b/rosechute/proxy/http1/listener.py
@@ -13,6 +13,7 @@
 from rosechute.proxy.core.flow import Budget
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.core.process_memory import unread_bytes
+from rosechute.proxy.core.receive_buffers import MIN_RECEIVE_BUFFER_BYTES
 from rosechute.proxy.core.shedding import Holding, who_gives_way, who_makes_room
 from rosechute.proxy.core.turns import TurnQueue
 from rosechute.proxy.http1.client import ClientConnection, ConnectionLimits, Queue, Service
@@ -126,6 +127,8 @@
         else:
             family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
             self._socket = socket.create_server(tuple(address), family=family, backlog=BACKLOG)
+        # Connections inherit this size, and those in the listen queue receive, too.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MIN_RECEIVE_BUFFER_BYTES)
         self._socket.setblocking(False)
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         return int(self._socket.getsockname()[1])
@@ -271,17 +274,20 @@
                 return None
             return True  # this client has already disconnected
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._set_receive_buffer(client_socket)
-        self._set_receive_buffer(self._socket)  # connections in the listen queue receive, too
+        self._widen_receive_buffer(client_socket)
         task = self._loop.create_task(self._create_connection(client_socket))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return True
 
-    def _set_receive_buffer(self, target: socket.socket) -> None:
-        """Limit what a connection may hold unread, by the number of those that are open."""
+    def _widen_receive_buffer(self, client_socket: socket.socket) -> None:
+        """Let a connection hold more unread than those in the listen queue, by the number of those that are open.
+
+        A buffer is never made smaller: a client that has been promised more nearly stops.
+        """
         size = self.budget.receive_buffer(len(self.connections) + len(self._opening))
-        target.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        if size > MIN_RECEIVE_BUFFER_BYTES:
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
     async def _create_connection(self, client_socket: socket.socket) -> None:
         """Create the transport and protocol of an accepted socket."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import Counter
 
 import pytest
 from backend import Call, Client, Conversation, Server, line, ok, play, sidecar
 
+from rosechute.proxy.core.receive_buffers import KERNEL_BUFFER_FACTOR, MIN_RECEIVE_BUFFER_BYTES
 from rosechute.proxy.http1 import client as client_side
 from rosechute.proxy.http1 import listener
 from rosechute.proxy.http1.client import MAX_HEAD, MAX_PIPELINED, MAX_STARTED_PER_READ
@@ -381,3 +383,34 @@
             assert len(handled) == 1
 
     play(scenario)
+
+
+def receive_buffer_bytes(target):
+    return target.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+
+def test_receive_buffer_of_a_connection_that_waited_to_be_accepted_is_never_narrowed(monkeypatch):
+    """On loopback, a client whose window was narrowed sent 0.2 MB/s."""
+    before_accept = []
+    widen = listener.Listener._widen_receive_buffer
+
+    def note_and_widen(self, client_socket):
+        before_accept.append((client_socket.fileno(), receive_buffer_bytes(client_socket)))
+        widen(self, client_socket)
+
+    monkeypatch.setattr(listener.Listener, "_widen_receive_buffer", note_and_widen)
+
+    async def scenario():
+        async with Server(ok) as server, sidecar(line("s1", server.port), sockets=2000) as world:
+            world.sidecar._budget.resize(64, 1)
+            waiting = [socket.create_connection(("127.0.0.1", world.port)) for _ in range(200)]
+            while len(before_accept) < len(waiting):
+                await asyncio.sleep(0.005)
+            for descriptor, size in before_accept:
+                with socket.socket(fileno=os.dup(descriptor)) as accepted:
+                    assert receive_buffer_bytes(accepted) >= size
+            assert max(size for _, size in before_accept) <= KERNEL_BUFFER_FACTOR * MIN_RECEIVE_BUFFER_BYTES
+            for client in waiting:
+                client.close()
+
+    play(scenario)
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -4,7 +4,8 @@
 
 import random
 
-from rosechute.proxy.core.flow import MIN_RECEIVE_BUFFER_BYTES, PIECE_BYTES, RECEIVE_BUFFER_BYTES, Body, Budget
+from rosechute.proxy.core.flow import PIECE_BYTES, Body, Budget
+from rosechute.proxy.core.receive_buffers import LARGE_RECEIVE_BUFFER_BYTES, MIN_RECEIVE_BUFFER_BYTES
 from rosechute.proxy.core.shedding import Holding, Standing, who_gives_way, who_makes_room
 
 
@@ -87,9 +88,9 @@
 def test_receive_buffers_shrink_as_connections_come_but_not_below_the_floor():
     budget = Budget(260)
     sizes = [budget.receive_buffer(connections) for connections in range(3000)]
-    assert sizes[0] == sizes[100] == RECEIVE_BUFFER_BYTES and sizes[-1] == MIN_RECEIVE_BUFFER_BYTES
+    assert sizes[0] == sizes[100] == LARGE_RECEIVE_BUFFER_BYTES and sizes[-1] == MIN_RECEIVE_BUFFER_BYTES
     assert sizes == sorted(sizes, reverse=True)
-    assert 2 * sum(sizes) <= budget.total / 2 + 2 * 3000 * MIN_RECEIVE_BUFFER_BYTES + 2 * RECEIVE_BUFFER_BYTES
+    assert 2 * sum(sizes) <= budget.total / 2 + 2 * 3000 * MIN_RECEIVE_BUFFER_BYTES + 2 * LARGE_RECEIVE_BUFFER_BYTES
 
 
 def test_budget_is_spent_above_its_total_and_the_share_of_one_body():
