Fleets of tests and demo start their processes as the platform does

Soak, crowds and demo ran the roles' modules by -m, whose interpreter loads site and runpy first: a signal in that time ends the process, for longer than in service. They now run deploy/start.py with -S, with the libraries of the tests' interpreter; without a checkout the module, as before.

The interpreter's own time remains.

--- a/rosechute/fakes/fleet/processes.py
+++ b/rosechute/fakes/fleet/processes.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import sysconfig
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,8 @@
 from rosechute.fakes.fleet.entry import EdgeEndpoint
 
 ROOT = Path(__file__).resolve().parents[3]
+START_SCRIPT = ROOT / "deploy" / "start.py"
+LIBRARIES = sysconfig.get_path("purelib")  # for a start without the module `site`
 FRONT_PORT, READINESS_PORT, CONTROL_PORT = 8360, 8365, 8367
 PORT_RANGE = (7500, 7515)
 STOP_TIMEOUT_S = 10.0
@@ -108,10 +111,9 @@
         with node.log.open("ab") as log:
             node.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                f"rosechute.processes.{node.role}",
+                *_start_arguments(node.role),
                 cwd=ROOT,
-                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                env={**os.environ, "PYTHONPATH": LIBRARIES, SETTINGS_VARIABLE: str(path)},
                 **{"stdout": log, "stderr": log, **self.spawn_options},
             )
         node.starts += 1
@@ -190,3 +192,10 @@
             "bounds": {"grace_s": 4, "quota_overshoot": 0.1, "quota_slack": 10000},
             "cloud_api": {"address": self.cloud_api, "rate_per_s": 40.0, "duties": [], "max_lag_ms": 500},
         }
+
+
+def _start_arguments(role: str) -> tuple[str, ...]:
+    """Return the interpreter's arguments: those of the platform, or the role's module where there is no checkout."""
+    if START_SCRIPT.is_file():
+        return ("-S", str(START_SCRIPT), role)
+    return ("-m", f"rosechute.processes.{role}")
