--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -15,13 +15,13 @@
 import aiohttp
 import msgspec
 
-from crowds.watch import MEGABYTE, Watch
 from rosechute.fakes.fleet import words
 from rosechute.fakes.fleet.engine import Engine
 from rosechute.fakes.fleet.loopback_network import reserve_network
 from rosechute.fakes.fleet.operator import Operator
 from rosechute.fakes.fleet.platform import Instance, PlatformList
 from rosechute.fakes.fleet.processes import FRONT_PORT, READINESS_PORT, Fleet, FleetNode
+from tests.crowds.watch import MEGABYTE, Watch
 
 ZONE = "north"
 HOST = "fleet.example"
--- a/tests/crowds/test_crowd_calm.py
+++ b/tests/crowds/test_crowd_calm.py
@@ -7,10 +7,10 @@
 
 import aiohttp
 
-from crowds.deployment import HOST, bounded, deployment
-from crowds.watch import MEGABYTE
 from rosechute.fakes.fleet import words
 from rosechute.fakes.fleet.processes import FRONT_PORT
+from tests.crowds.deployment import HOST, bounded, deployment
+from tests.crowds.watch import MEGABYTE
 
 EDGE_MEMORY_MB, CORE_MEMORY_MB, MAX_FDS = 260, 296, 4096
 LARGEST_CONFIGURATION_BYTES = 8 * MEGABYTE - 4096  # the operator's API takes bodies of up to 8 MiB
--- a/tests/crowds/test_crowd_edge.py
+++ b/tests/crowds/test_crowd_edge.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from crowds import shapes
-from crowds.crowd import Crowd, Script
-from crowds.deployment import CONFIGURATION, Deployment, bounded, deployment, restart
-from crowds.shapes import CHUNKED, KILOBYTE, MEGABYTE, head
 from rosechute.fakes.fleet.processes import FRONT_PORT, PORT_RANGE, READINESS_PORT
 from rosechute.processes.metrics import EDGE_PORT
+from tests.crowds import shapes
+from tests.crowds.crowd import Crowd, Script
+from tests.crowds.deployment import CONFIGURATION, Deployment, bounded, deployment, restart
+from tests.crowds.shapes import CHUNKED, KILOBYTE, MEGABYTE, head
 
 SIZE = 200
 SILENT_SIZE = 700  # more than a process has descriptors
--- a/tests/crowds/test_crowd_sidecar.py
+++ b/tests/crowds/test_crowd_sidecar.py
@@ -15,11 +15,11 @@
 from backend import Client, Server, line, listing, ok, operate
 from test_process import ROOT, config, free_port, next_log_line, write_config
 
-from crowds import shapes
-from crowds.crowd import Crowd, Script
-from crowds.deployment import HANG_S, RETRY_S, bounded_process
-from crowds.shapes import CHUNKED, KILOBYTE, MEGABYTE, head
 from rosechute.fakes.fleet.loopback_network import reserve_network
+from tests.crowds import shapes
+from tests.crowds.crowd import Crowd, Script
+from tests.crowds.deployment import HANG_S, RETRY_S, bounded_process
+from tests.crowds.shapes import CHUNKED, KILOBYTE, MEGABYTE, head
 
 SIZE = 200
 MEMORY_MB, MAX_SOCKETS = 64, 256
--- a/tests/crowds/test_resident_memory.py
+++ b/tests/crowds/test_resident_memory.py
@@ -8,13 +8,13 @@
 
 import pytest
 
-from crowds.crowd import Crowd, Script
-from crowds.deployment import bounded, bounded_process, deployment
-from crowds.shapes import MEGABYTE, UNREAD, one_of_each
-from crowds.test_crowd_sidecar import MAX_SOCKETS, sidecar_process
-from crowds.test_crowd_sidecar import MEMORY_MB as SIDECAR_MEMORY_MB
-from crowds.watch import resident_bytes
 from rosechute.fakes.fleet.processes import CONTROL_PORT, FRONT_PORT
+from tests.crowds.crowd import Crowd, Script
+from tests.crowds.deployment import bounded, bounded_process, deployment
+from tests.crowds.shapes import MEGABYTE, UNREAD, one_of_each
+from tests.crowds.test_crowd_sidecar import MAX_SOCKETS, sidecar_process
+from tests.crowds.test_crowd_sidecar import MEMORY_MB as SIDECAR_MEMORY_MB
+from tests.crowds.watch import resident_bytes
 
 SIZE = 700
 SIDECAR_SIZE = 200
--- a/tests/soak/launching.py
+++ b/tests/soak/launching.py
@@ -13,12 +13,12 @@
 from typing import Any
 
 import msgspec
-from crowds.deployment import HANG_S
 from test_process import config, free_port
 
 from rosechute.configuration.process import SETTINGS_VARIABLE
 from rosechute.fakes.fleet.loopback_network import reserve_network
 from rosechute.fakes.fleet.processes import ROOT, Fleet
+from tests.crowds.deployment import HANG_S
 from tests.soak.addresses import Address, listening_addresses
 from tests.soak.signals import wait_for_handlers
 
--- a/tests/soak/test_process_environment.py
+++ b/tests/soak/test_process_environment.py
@@ -12,11 +12,11 @@
 import aiohttp
 import msgspec
 import pytest
-from crowds.deployment import HANG_S, deployment
 
 from rosechute.fakes.fleet.processes import FRONT_PORT, READINESS_PORT
 from rosechute.processes.metrics import CORE_PORT, EDGE_PORT
 from rosechute.storage.record_store import LOG_NAMES, SLOT_NAMES
+from tests.crowds.deployment import HANG_S, deployment
 from tests.soak.launching import Program, prepare, started, wait_for_exit, wait_until_handling
 from tests.soak.log_destinations import LogDestination, log_destination
 from tests.soak.signals import send_signal
--- a/tests/soak/test_signal_series.py
+++ b/tests/soak/test_signal_series.py
@@ -6,9 +6,9 @@
 import signal
 
 import pytest
-from crowds.deployment import HANG_S, deployment
-from crowds.test_crowd_sidecar import sidecar_process
 
+from tests.crowds.deployment import HANG_S, deployment
+from tests.crowds.test_crowd_sidecar import sidecar_process
 from tests.soak.signals import send_signal
 
 SIGNAL_INTERVAL_S = 0.001
