Test of a release of memory no longer depends on the size of the process that runs it

Cause: the test's limit was fixed, the resident size is that of the whole test run, so the outcome hung on the tests before it. The limit now follows the size, and exactly one line may be logged.

--- a/tests/fleet/test_processes_resource_watch.py
+++ b/tests/fleet/test_processes_resource_watch.py
@@ -12,6 +12,10 @@
 from rosechute.processes import resource_watch
 from rosechute.processes.resource_watch import ResourceWatch, current_usage
 from rosechute.proxy.core import process_memory
+from rosechute.proxy.core.memory_guard import MEGABYTE
+from rosechute.proxy.core.process_memory import resident_bytes
+
+PIECE_BYTES = 4096
 
 
 class ResourceWatchTest(unittest.TestCase):
@@ -20,8 +24,12 @@
         sink = logger.add(lambda message: self.lines.append(message.record["message"]))
         self.addCleanup(logger.remove, sink)
         self.settings = ProcessSettings(node_name="n", ip="127.0.0.1", zone="z", port_range=(7500, 7515))
-        limits = msgspec.structs.replace(ProcessLimits(), memory_mb=100, max_fds=1000)
-        self.watch = ResourceWatch(msgspec.structs.replace(self.settings, limits=limits))
+        self.watch = self.watch_with_memory(100)
+
+    def watch_with_memory(self, memory_mb: float) -> ResourceWatch:
+        """Return a watch of this process with that memory limit."""
+        limits = msgspec.structs.replace(ProcessLimits(), memory_mb=memory_mb, max_fds=1000)
+        return ResourceWatch(msgspec.structs.replace(self.settings, limits=limits))
 
     def test_memory_near_its_limit_is_logged_once_until_it_has_fallen(self) -> None:
         for memory_mb in (79.0, 81.0, 90.0, 75.0, 85.0, 60.0, 85.0):
@@ -35,12 +43,16 @@
         )
 
     def test_release_of_memory_is_logged(self) -> None:
-        self.watch.check_memory()
-        kept = [bytes(4096) for _ in range(4096)]
-        self.watch.check_memory()
+        resident = resident_bytes()
+        assert resident is not None
+        watch = self.watch_with_memory(2 * resident // MEGABYTE)
+        watch.check_memory()
+        kept = [bytes(PIECE_BYTES) for _ in range(resident // 4 // PIECE_BYTES)]
+        watch.check_memory()
+        self.assertEqual(len(self.lines), 1)
         self.assertRegex(self.lines[0], r"^memory released resident_mb=\d+\.\d released_mb=-?\d+\.\d$")
-        self.assertEqual(self.watch.memory_releases_total, 1)
-        self.assertGreater(self.watch.resident_bytes, len(kept) * 4096)
+        self.assertEqual(watch.memory_releases_total, 1)
+        self.assertGreater(watch.resident_bytes, len(kept) * PIECE_BYTES)
 
     def test_descriptors_near_their_limit_are_logged(self) -> None:
         self.watch.check_descriptors(800)
