Reading goes on after pipelined requests whose last byte ended a read

What callers saw: a client that pipelined ten or more short requests got their answers, and none to what it sent afterwards; its connection stayed, read by nobody, until the client reset it.

Cause: with eight requests parsed ahead reading pauses. It went on only if some bytes of the read were left unparsed; a read that held whole requests only, and ended with one, left none. Smaller receive buffers made such reads common. Now a pause alone is a reason to go on. The new test failed before.

--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -755,7 +755,7 @@
             self._reject_input()
         else:
             self._listener.move(self, self._idle_queue())
-            if self._pipelined or self._unparsed or self._waits_to_stream:
+            if self._pipelined or self._unparsed or self._paused or self._waits_to_stream:
                 self._loop.call_soon(self._start_next)
 
     def _idle_queue(self) -> dict[ClientConnection, float]:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -16,6 +16,7 @@
 from rosechute.proxy.http1.client import MAX_HEAD, MAX_PIPELINED, MAX_STARTED_PER_READ
 
 HEAD = b"GET /free HTTP/1.1\r\nHost: app\r\nX-Request-ID: %s\r\nX-Timeout: 5\r\n"
+LIMIT_S = 5.0
 POST = b"POST /single_shot HTTP/1.1\r\nHost: app\r\nX-Request-ID: p1\r\nX-Timeout: 5\r\n"
 
 
@@ -414,3 +415,18 @@
                 client.close()
 
     play(scenario)
+
+
+def test_reading_goes_on_after_pipelined_requests_that_ended_with_a_read():
+    """A connection whose read held many whole requests was never read again once they were answered."""
+
+    async def scenario():
+        async with Server(ok) as server, sidecar(line("s1", server.port)) as world:
+            client = await world.client()
+            first = MAX_PIPELINED + 2
+            await client.send(b"".join(HEAD % b"a%d" % number + b"\r\n" for number in range(first)))
+            assert {(await client.answer())[0] for _ in range(first)} == {200}
+            await client.send(HEAD % b"last" + b"\r\n")
+            assert (await asyncio.wait_for(client.answer(), LIMIT_S))[0] == 200
+
+    play(scenario)
