--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -766,12 +766,7 @@
 
     def _start_next(self) -> None:
         """Start the next pipelined request, or continue to parse data that was read ahead."""
-        if (
-            self._active is not None
-            or self._is_write_paused
-            or self._transport is None
-            or self._transport.is_closing()
-        ):
+        if self._active is not None or self._is_write_paused or self._is_closing():
             return
         if self._pipelined:
             self._start_request(self._pipelined.popleft())
