Test of a release of memory takes pages of its own, not memory that was free in the heap

Cause: the test grew the process by a quarter with objects of 4 KB. Where the heap already held that much free memory, they came from there, the resident size stood still, and nothing was to be released. The guard was right. Change: the growth is an anonymous mapping that is written to. What is asserted is unchanged.

--- a/tests/fleet/test_processes_resource_watch.py
+++ b/tests/fleet/test_processes_resource_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from mmap import mmap
 from unittest import mock
 
 import msgspec
@@ -15,8 +16,6 @@
 from rosechute.proxy.core.memory_guard import MEGABYTE
 from rosechute.proxy.core.process_memory import resident_bytes
 
-PIECE_BYTES = 4096
-
 
 class ResourceWatchTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -47,12 +46,14 @@
         assert resident is not None
         watch = self.watch_with_memory(2 * resident // MEGABYTE)
         watch.check_memory()
-        kept = [bytes(PIECE_BYTES) for _ in range(resident // 4 // PIECE_BYTES)]
+        kept = mmap(-1, resident // 4)  # pages of its own, whatever is free in the heap
+        self.addCleanup(kept.close)
+        kept.write(bytes(len(kept)))
         watch.check_memory()
         self.assertEqual(len(self.lines), 1)
         self.assertRegex(self.lines[0], r"^memory released resident_mb=\d+\.\d released_mb=-?\d+\.\d$")
         self.assertEqual(watch.memory_releases_total, 1)
-        self.assertGreater(watch.resident_bytes, len(kept) * PIECE_BYTES)
+        self.assertGreater(watch.resident_bytes, len(kept))
 
     def test_descriptors_near_their_limit_are_logged(self) -> None:
         self.watch.check_descriptors(800)
