Lab: a driver that is late at the end of a run lets no further requests arrive

Cause: the model stops its clients at the end of the scenario's duration; the driver of real processes did so once its own task woke up behind that time. Arrivals that fell due in between were let in: at 100 a second two of them stand for some 20 ms of delay. Change: the end is an event of the engine like the arrivals, ordered by its due time.

--- a/rosechute/simulation/real/world.py
+++ b/rosechute/simulation/real/world.py
@@ -176,8 +176,8 @@
             self._wall = time.time_ns()
             self.pump.start()
             end = int(self.scenario.duration)
-            await self.pump.until(end)
-            self.clients.stopped = True
+            # An event like the arrivals: a driver that is late would let more of them in than the model.
+            self.engine.at(end + 1, self._stop_clients)
             await self.pump.until(end + max(c.deadline for c in self.scenario.classes) + TAIL_NS)
         finally:
             gc.enable()
@@ -198,6 +198,9 @@
         self.trace.flush()
         return self.trace.digest()
 
+    def _stop_clients(self, _: None) -> None:
+        self.clients.stopped = True
+
     async def _begin(self) -> None:
         for listener in self.listeners:
             await listener.opened()
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 import uuid
 from pathlib import Path
 
@@ -48,6 +49,20 @@
     assert sum(played.run.figures.heat().sum(axis=1) > 0) == 4
 
 
+def test_driver_that_is_late_at_the_end_lets_no_further_requests_arrive(tmp_path):
+    scenario = load("rolling-deploy", {**SMALL, "warmup": "1ms", "fault": []})
+    model = run(scenario, "module", 3).result
+
+    async def play():
+        figures = Figures(scenario)
+        world = RealWorld(scenario, 3, tmp_path, (figures,))
+        world.engine.at(int(scenario.duration) - MS, lambda _: time.sleep(0.2))
+        await world.real()
+        return figures.result()
+
+    assert asyncio.run(play())["wanted"] == model["wanted"]
+
+
 def test_restarts_of_servers_and_sidecars_break_no_rule():
     scenario = load(
         "rolling-deploy",
