Headers of a request are kept as bytes: a crowd's heads leave no memory behind

Cause: each header of an arriving head was a tuple and two byte strings, some 200 bytes for four on the wire. The budget counted them, but their pools lie in arenas of the interpreter that a few long-lived objects pin, so that a collection gives nothing back. Change: the parser appends names and values to two flat buffers; the list is made when it is asked for and not kept. Edge and sidecar share this code. Ordinary requests that arrive whole do not pass through it.

--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -20,7 +20,6 @@
 RELIEF_DIVISOR = 8  # once spent, this fraction of the total is freed, so that the next bytes find room
 MIN_TOTAL_BYTES = 4 << 20  # bytes that may be held however little memory is left
 PIECE_BYTES = 4096  # shorter pieces of a body are joined: each object costs more than the bytes of a short one
-HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
 
 class Budget:
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -14,11 +14,12 @@
 
 import httptools
 
-from rosechute.proxy.core.flow import HEADER_OVERHEAD_BYTES, Body, Budget, Pieces, Source
+from rosechute.proxy.core.flow import Body, Budget, Pieces, Source
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.core.shedding import Standing
 from rosechute.proxy.http1 import quick
-from rosechute.proxy.http1.message import Headers, Message, head
+from rosechute.proxy.http1.header_buffer import HEADER_LENGTH_BYTES, HeaderBuffer, Headers
+from rosechute.proxy.http1.message import Message, head, values_of
 
 MAX_BODY = 33 << 20  # bytes of a request's body; 32 MB are guaranteed
 STREAM_PARSE_BYTES = 64 * 1024  # bytes parsed at a time within a streamed body, where no request can begin
@@ -514,6 +515,7 @@
         """Start a request, or start anew one whose head is parsed again."""
         began = self.last_read_at if self._message is None else self._message.began
         self._message = Message(self)
+        self._message.header_buffer = HeaderBuffer()
         self._message.began = began
         self._in_head = True
         self._body, self._size, self._stream = None, 0, None
@@ -526,10 +528,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore trailers, which must not alter the meaning of a request."""
-        assert self._message is not None
+        message = self._message
+        assert message is not None and message.header_buffer is not None
         if self._in_head:
-            self._message.headers.append((name.lower(), value.strip(b" \t")))  # the parser leaves trailing spaces
-            self._charge_message(self._message, len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+            message.header_buffer.append(name.lower(), value.strip(b" \t"))  # the parser leaves trailing spaces
+            self._charge_message(message, len(name) + len(value) + HEADER_LENGTH_BYTES)
 
     def on_headers_complete(self) -> None:
         """Check the head.
@@ -547,8 +550,9 @@
         if parser.should_upgrade():
             return  # the head is parsed again, without its offer
         self._in_head = False
-        lengths, codings = message.all(b"content-length"), message.all(b"transfer-encoding")
-        hosts, version = len(message.all(b"host")), parser.get_http_version()
+        headers = message.headers
+        lengths, codings = values_of(headers, b"content-length"), values_of(headers, b"transfer-encoding")
+        hosts, version = len(values_of(headers, b"host")), parser.get_http_version()
         if (
             len(lengths) > 1
             or any(DIGITS.fullmatch(value) is None for value in lengths)
@@ -561,10 +565,10 @@
         elif lengths and int(lengths[0]) > self._limits.max_body:
             self._error_status = 413
         else:
-            expect = message.header(b"expect")
-            if expect is not None and expect.lower() != b"100-continue":
+            expected = values_of(headers, b"expect")
+            if expected and expected[0].lower() != b"100-continue":
                 self._error_status = 417
-            elif expect is not None:
+            elif expected:
                 self._owes_continue = True
                 self._continue()
         if self._error_status:
--- a/rosechute/proxy/http1/message.py
+++ b/rosechute/proxy/http1/message.py
@@ -7,6 +7,7 @@
 from rosechute.proxy.core.flow import Body, Source
 from rosechute.proxy.core.ports import Ending
 from rosechute.proxy.http1.connection import Reply
+from rosechute.proxy.http1.header_buffer import HeaderBuffer, Headers
 
 REASONS = {
     200: "OK",
@@ -40,7 +41,6 @@
     }
 )
 NOT_FORWARDED_HEADERS = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
-Headers = list[tuple[bytes, bytes]]
 STATUS = {
     Ending.SERVED: 200,
     Ending.REFUSED: 503,
@@ -90,7 +90,7 @@
         connection: The connection that sends the response.
         method: Request method.
         target: Request target, in origin form once the head is complete.
-        headers: Headers with lower-case names, in order.
+        header_buffer: The headers of a request that the parser has read; `None` for others.
         body: The complete body; empty if it is streamed.
         stream: A streamed body.
         complete: Whether the last byte has been received.
@@ -107,7 +107,8 @@
     __slots__ = (
         "method",
         "target",
-        "headers",
+        "_headers",
+        "header_buffer",
         "body",
         "stream",
         "complete",
@@ -125,7 +126,8 @@
     def __init__(self, connection: ResponseWriter) -> None:
         self.connection = connection
         self.method = self.target = self.body = b""
-        self.headers: Headers = []
+        self._headers: Headers = []
+        self.header_buffer: HeaderBuffer | None = None
         self.stream: Body | None = None
         self.complete = False
         self.chunks = True
@@ -137,6 +139,15 @@
         self.held = 0
         self.headers_by_name: dict[bytes, bytes] | None = None
 
+    @property
+    def headers(self) -> Headers:
+        """Headers with lower-case names, in order; made anew each time from a buffer, so that none are kept."""
+        return self._headers if self.header_buffer is None else self.header_buffer.headers()
+
+    @headers.setter
+    def headers(self, headers: Headers) -> None:
+        self._headers = headers
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
         for key, value in self.headers:
@@ -146,7 +157,7 @@
 
     def all(self, name: bytes) -> list[bytes]:
         """Return the values of all headers with this lower-case name."""
-        return [value for key, value in self.headers if key == name]
+        return values_of(self.headers, name)
 
     def reply(self, status: int, body: bytes = b"", headers: Headers | None = None) -> None:
         """Send a response. Ignored if one was sent already or the client has disconnected."""
@@ -185,6 +196,11 @@
         self.connection.end_response(self, whole)
 
 
+def values_of(headers: Headers, name: bytes) -> list[bytes]:
+    """Return the values of all headers with this lower-case name."""
+    return [value for key, value in headers if key == name]
+
+
 def forwarded_headers(reply: Reply) -> Headers:
     """Return the headers of a server's response that are forwarded: not those about its connection or itself."""
     return [pair for pair in reply.headers if pair[0] not in NOT_FORWARDED_HEADERS]
