Tests of streamed bodies: the server's side joins pieces without copying all before them

Cause: the test's own server appended each piece to a bytes object, which copies the whole body: 14.6 of 16 s of its time, by a profile. The product took 0.2 s. Change: a bytearray. What is asserted is unchanged.

--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -39,12 +39,12 @@
     """Return a request body as the server receives it, in either framing."""
     if call.headers.get("Transfer-Encoding") != "chunked":
         return call.body
-    body = b""
+    body = bytearray()
     while size := int((await conversation.reader.readline()).split(b";")[0], 16):
         body += await conversation.reader.readexactly(size)
         assert await conversation.reader.readline() == b"\r\n"
     assert await conversation.reader.readline() == b"\r\n"
-    return body
+    return bytes(body)
 
 
 async def respond_with_digest(conversation: Conversation, call: Call) -> None:
