--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -534,8 +534,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore trailers, which must not alter the meaning of a request."""
         message = self._message
-        assert message is not None and message.header_buffer is not None
+        assert message is not None
         if self._in_head:
+            assert message.header_buffer is not None
             message.header_buffer.append(name.lower(), value.strip(b" \t"))  # the parser leaves trailing spaces
             self._charge_message(message, len(name) + len(value) + HEADER_LENGTH_BYTES)
 
