Headers as bytes taken back: crowds with many short heads left ordinary requests unanswered

Cause, read in the code: charged by their bytes, heads spend the budget some 20 times later, so that many more of them are read to their end, each at the cost of its thousands of headers. Not measured further.

--- a/rosechute/data_plane/client_response.py
+++ b/rosechute/data_plane/client_response.py
@@ -19,8 +19,7 @@
 from rosechute.data_plane.server_request import ResumePoint
 from rosechute.proxy.core.flow import Source
 from rosechute.proxy.http1.connection import Reply
-from rosechute.proxy.http1.header_buffer import Headers
-from rosechute.proxy.http1.message import HOP_BY_HOP, Message
+from rosechute.proxy.http1.message import HOP_BY_HOP, Headers, Message
 
 NOT_FORWARDED_TO_CLIENTS = HOP_BY_HOP | {b"content-length"}
 MAX_EVENT_BYTES = 256 * 1024  # maximum size of an event if only complete events are forwarded
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -19,8 +19,8 @@
 SPENT_SLACK_BYTES = MAX_SHARE_BYTES  # bytes over the total at which the budget counts as spent: one body's share
 RELIEF_DIVISOR = 8  # once spent, this fraction of the total is freed, so that the next bytes find room
 MIN_TOTAL_BYTES = 4 << 20  # bytes that may be held however little memory is left
-HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 PIECE_BYTES = 4096  # shorter pieces of a body are joined: each object costs more than the bytes of a short one
+HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
 
 class Budget:
--- a/rosechute/proxy/http1/message.py
+++ b/rosechute/proxy/http1/message.py
@@ -7,7 +7,6 @@
 from rosechute.proxy.core.flow import Body, Source
 from rosechute.proxy.core.ports import Ending
 from rosechute.proxy.http1.connection import Reply
-from rosechute.proxy.http1.header_buffer import HeaderBuffer, Headers
 
 REASONS = {
     200: "OK",
@@ -41,6 +40,7 @@
     }
 )
 NOT_FORWARDED_HEADERS = HOP_BY_HOP | {b"content-length", b"x-server-load", b"date", b"server"}
+Headers = list[tuple[bytes, bytes]]
 STATUS = {
     Ending.SERVED: 200,
     Ending.REFUSED: 503,
@@ -90,8 +90,7 @@
         connection: The connection that sends the response.
         method: Request method.
         target: Request target, in origin form once the head is complete.
-        headers: Headers with lower-case names, in order; empty until `load_headers`.
-        header_buffer: The headers until then; `None` if they were set at once.
+        headers: Headers with lower-case names, in order.
         body: The complete body; empty if it is streamed.
         stream: A streamed body.
         complete: Whether the last byte has been received.
@@ -109,7 +108,6 @@
         "method",
         "target",
         "headers",
-        "header_buffer",
         "body",
         "stream",
         "complete",
@@ -128,7 +126,6 @@
         self.connection = connection
         self.method = self.target = self.body = b""
         self.headers: Headers = []
-        self.header_buffer: HeaderBuffer | None = None
         self.stream: Body | None = None
         self.complete = False
         self.chunks = True
@@ -140,12 +137,6 @@
         self.held = 0
         self.headers_by_name: dict[bytes, bytes] | None = None
 
-    def load_headers(self) -> None:
-        """Set `headers` to those in the buffer."""
-        if self.header_buffer is not None:
-            self.headers = self.header_buffer.headers()
-            self.header_buffer = None
-
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
         for key, value in self.headers:
@@ -155,7 +146,7 @@
 
     def all(self, name: bytes) -> list[bytes]:
         """Return the values of all headers with this lower-case name."""
-        return values_of(self.headers, name)
+        return [value for key, value in self.headers if key == name]
 
     def reply(self, status: int, body: bytes = b"", headers: Headers | None = None) -> None:
         """Send a response. Ignored if one was sent already or the client has disconnected."""
@@ -194,11 +185,6 @@
         self.connection.end_response(self, whole)
 
 
-def values_of(headers: Headers, name: bytes) -> list[bytes]:
-    """Return the values of all headers with this lower-case name."""
-    return [value for key, value in headers if key == name]
-
-
 def forwarded_headers(reply: Reply) -> Headers:
     """Return the headers of a server's response that are forwarded: not those about its connection or itself."""
     return [pair for pair in reply.headers if pair[0] not in NOT_FORWARDED_HEADERS]
--- a/setup.py
+++ b/setup.py
@@ -28,7 +28,6 @@
         "rosechute/proxy/http1/backend.py",
         "rosechute/proxy/http1/pool.py",
         "rosechute/proxy/http1/upstream.py",
-        "rosechute/proxy/http1/header_buffer.py",
         "rosechute/proxy/http1/message.py",
         "rosechute/proxy/http1/connection.py",
         "rosechute/proxy/http1/client.py",
