Tests name the sidecar's start command once; one constant of a megabyte in the resource watch

Cause: the review of the change found the platform's start of the sidecar written out in three tests, and a constant beside the memory guard's that has the same name and value. Change: one name for each; a comment fits its line. Behaviour and assertions are unchanged.

--- a/rosechute/processes/resource_watch.py
+++ b/rosechute/processes/resource_watch.py
@@ -19,13 +19,12 @@
 
 from rosechute.configuration.process import ProcessSettings
 from rosechute.process_start import STARTED_AT_S
-from rosechute.proxy.core.memory_guard import CHECK_INTERVAL_S, MemoryConsumer, MemoryGuard
+from rosechute.proxy.core.memory_guard import CHECK_INTERVAL_S, MEGABYTE, MemoryConsumer, MemoryGuard
 from rosechute.proxy.core.process_memory import release_free_memory, resident_bytes
 
 DESCRIPTOR_CHECKS = 4  # checks of the memory between two of the descriptors
 WARNING_SHARE = 0.8  # of a limit
 RECOVERED_SHARE = 0.7  # of a limit; below it the next warning is logged again
-MEGABYTE = 1 << 20
 PROCESS_DESCRIPTORS = Path("/proc/self/fd")
 
 
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -44,9 +44,7 @@
 SHED_STATUS = 503  # response to a request that gives way; it promises that the request was not executed
 SHED_RETRY_AFTER = b"1"  # seconds
 CUT_STATUS = 502  # the same after a server has got a part of the request; it promises nothing
-MAX_STARTED_PER_READ = (
-    4  # requests of one read that are handled at once; later ones take turns with other connections
-)
+MAX_STARTED_PER_READ = 4  # requests of one read that are handled at once; later ones take turns
 MAX_PIPELINED = 8  # pipelined requests that are parsed ahead; further ones stay unparsed or in the kernel
 # Statuses after which the connection closes: what follows such a request is likely to be invalid, too.
 CLOSING_STATUSES = frozenset({400, 404, 405, 408, 409, 413, 417, 431})
--- a/tests/crowds/test_crowd_sidecar.py
+++ b/tests/crowds/test_crowd_sidecar.py
@@ -13,7 +13,7 @@
 
 import pytest
 from backend import Client, Server, line, listing, ok, operate
-from test_process import ROOT, config, free_port, next_log_line, write_config
+from test_process import ROOT, SIDECAR_COMMAND, config, free_port, next_log_line, write_config
 
 from rosechute.fakes.fleet.loopback_network import reserve_network
 from tests.crowds import shapes
@@ -88,8 +88,7 @@
         )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-S",
-            "deploy/start_sidecar.py",
+            *SIDECAR_COMMAND,
             cwd=ROOT,
             env={**os.environ, **write_config(folder, raw)},
             stderr=asyncio.subprocess.PIPE,
--- a/tests/soak/launching.py
+++ b/tests/soak/launching.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import msgspec
-from test_process import config, free_port
+from test_process import SIDECAR_COMMAND, config, free_port
 
 from rosechute.configuration.process import SETTINGS_VARIABLE
 from rosechute.fakes.fleet.loopback_network import reserve_network
@@ -24,7 +24,6 @@
 
 NOBODY = "127.0.0.1:9"  # no platform and no discovery listens there
 RETRY_S = 0.02
-SIDECAR_COMMAND = ("-S", "deploy/start_sidecar.py")
 
 
 class Program(enum.Enum):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,6 +16,7 @@
 from rosechute.sidecar.config import ConfigError, load
 
 ROOT = Path(__file__).parent.parent
+SIDECAR_COMMAND = ("-S", "deploy/start_sidecar.py")  # the interpreter's arguments, as the platform starts it
 
 
 def config(**changes):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,7 +13,7 @@
 import pytest
 from backend import Call, Client, Conversation, Server, line, listing, ok, operate, play
 from build import MS, SECOND, accept, balancer, fleet, of_type, outcome
-from test_process import LIMIT_S, config, free_port
+from test_process import LIMIT_S, SIDECAR_COMMAND, config, free_port
 
 from rosechute.load_balancing import Directory, Entry, Submit, memory
 from rosechute.sidecar import takeover
@@ -56,8 +56,7 @@
         }
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-S",
-            "deploy/start_sidecar.py",
+            *SIDECAR_COMMAND,
             cwd=ROOT,
             env=env,
             pass_fds=[self.socket.fileno()],
