Faulty stand-in server that sends without end, and failing tests of an edge before it

Callers of such a server (15 forms, statuses 200 and 500, four types of route, 64 callers, half of them reading) beside ordinary requests of another service, which must be answered within 2 s at the first try, and a memory limit of 260 MB. On this code 5 of 15 fail: byte_chunks, partial_events (399.8 MB of 260), whole_events, whole_events_no_length, short_lines. Others near their bound: trailers 1.2 s, no_length 194.5 MB, one_chunk 164.0 MB.

--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -64,8 +64,10 @@
     """A running fleet of one core process and one edge."""
 
     fleet: Fleet
+    platform: PlatformList
     operator: Operator
     folder: Path
+    configuration: dict[str, Any]
     version: int = 1
     """Version of the configuration that was acknowledged last."""
 
@@ -101,7 +103,7 @@
 
     async def change_configuration(self, padding_bytes: int = 0) -> None:
         """Have the core take the next configuration, and read it back."""
-        wanted = {**CONFIGURATION, "config_version": self.version + 1, "padding": "x" * padding_bytes}
+        wanted = {**self.configuration, "config_version": self.version + 1, "padding": "x" * padding_bytes}
         outcome = await self.operator.replace(wanted, self.version, HANG_S)
         assert outcome.status == 200, f"configuration: status {outcome.status} after {outcome.calls} calls"
         read = await self.operator.read(HANG_S)
@@ -151,7 +153,10 @@
 
 @contextlib.asynccontextmanager
 async def deployment(
-    memory_mb: int = MEMORY_MB, max_fds: int = MAX_FDS, spawn_options: dict[str, Any] | None = None
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
+    spawn_options: dict[str, Any] | None = None,
+    configuration: dict[str, Any] = CONFIGURATION,
 ) -> AsyncIterator[Deployment]:
     """Run a fleet with these limits and a server of each service, ready to serve."""
     network = reserve_network()
@@ -164,12 +169,12 @@
         for engine, service in zip(engines, (PLAIN, STREAMS), strict=True):
             address = await engine.start(f"127.{network}.4.1")
             platform.put(Instance(id=engine.id, service=service, address=address, zone=ZONE, slots=200))
-        running = Deployment(fleet, Operator(fleet.control_addresses()), folder)
+        running = Deployment(fleet, platform, Operator(fleet.control_addresses()), folder, configuration)
         try:
             await fleet.start_all()
             for node in fleet.nodes.values():
                 limit_descriptors(node, max_fds)
-            outcome = await running.operator.replace(CONFIGURATION, 0, HANG_S)
+            outcome = await running.operator.replace(configuration, 0, HANG_S)
             assert outcome.status == 200, outcome
             await running.probe_readiness()
             await running.request()
--- /dev/null
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -0,0 +1,91 @@
+"""A faulty server that sends bytes without end, called through an edge: memory, and requests to other servers."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import os
+from typing import Any
+
+import aiohttp
+import pytest
+
+from rosechute.fakes.endless_server import FORMS
+from rosechute.fakes.fleet import words
+from rosechute.fakes.fleet.platform import Instance
+from rosechute.fakes.fleet.processes import FRONT_PORT
+from tests.crowds.deployment import CONFIGURATION, HOST, ZONE, Deployment, bounded, deployment, restart
+from tests.crowds.faulty_server import endless_callers, endless_server
+
+MEMORY_MB = 260
+CALLERS = int(os.environ.get("FAULTY_CALLERS", "64"))
+STAY_S = 4.0
+SERVER_PORT = 8100
+DEADLINE_S = 2.0  # of the ordinary requests: four times the target latency of their route
+PAUSE_S = 0.05
+FAULTY = "faulty"
+ROUTE_TYPES: dict[str, dict[str, Any]] = {
+    "unsafe": {"route_type": "non_idempotent", "max_attempts": 1},
+    "safe": {"route_type": "idempotent", "max_attempts": 2},
+    "stream": {"route_type": "streaming", "max_attempts": 1},
+    "resumed": {"route_type": "streaming", "max_attempts": 2, "stream_resume": True},
+}
+STATUSES = (200, 500)
+
+
+def configuration_with_faulty_service() -> dict[str, Any]:
+    configuration = copy.deepcopy(CONFIGURATION)
+    template = configuration["routes"][0]
+    configuration["routes"] += [
+        {**template, **changes, "name": name, "path_prefix": f"/{name}/", "service": FAULTY}
+        for name, changes in ROUTE_TYPES.items()
+    ]
+    configuration["services"].append({**configuration["services"][0], "name": FAULTY})
+    return configuration
+
+
+async def ordinary_request(fleet: Deployment, number: int) -> None:
+    """Have one request to another server answered at the first try, within its deadline."""
+    headers = {
+        "Host": HOST,
+        words.REQUEST_ID: f"ordinary-{number}",
+        words.DEADLINE_MS: f"{DEADLINE_S * 1e3:.0f}",
+    }
+    url = f"http://{fleet.edge.ip}:{FRONT_PORT}/plain/1"
+    async with asyncio.timeout(DEADLINE_S), aiohttp.ClientSession() as session:
+        async with session.post(url, headers=headers, data=b"ordinary") as response:
+            answer = await response.read()
+            assert response.status == 200, f"ordinary request {number}: status {response.status}"
+            assert answer == words.plain_body("/plain/1", b"ordinary")
+
+
+async def ordinary_requests(fleet: Deployment) -> None:
+    loop = asyncio.get_running_loop()
+    end, number, slowest = loop.time() + STAY_S, 0, 0.0
+    while loop.time() < end:
+        began = loop.time()
+        number += 1
+        await ordinary_request(fleet, number)
+        slowest = max(slowest, loop.time() - began)
+        await asyncio.sleep(PAUSE_S)
+    print(f"{number} ordinary requests, slowest {slowest:.2f} s")
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_endless_response_leaves_memory_and_time_for_other_requests(form):
+    async def scenario():
+        async with deployment(MEMORY_MB, configuration=configuration_with_faulty_service()) as fleet:
+            host = f"127.{fleet.edge.ip.split('.')[1]}.4.9"
+            async with endless_server(host, SERVER_PORT) as address:
+                fleet.platform.put(Instance(id="i-faulty", service=FAULTY, address=address, zone=ZONE, slots=200))
+                await asyncio.sleep(1.0)
+                async with bounded(fleet.edge, MEMORY_MB):
+                    for status in STATUSES:
+                        targets = [f"/{name}/1?form={form}&status={status}" for name in ROUTE_TYPES]
+                        print(form, status)
+                        async with endless_callers((fleet.edge.ip, FRONT_PORT), CALLERS, targets):
+                            await ordinary_requests(fleet)
+                            await fleet.probe_readiness()
+                await restart(fleet.fleet, fleet.edge)
+
+    asyncio.run(scenario())
