A page of the endpoint list is read up to 4 MB; an error's body is not read

Cause: a platform list that sends bytes without end was read whole for up to 0.7 s, at loopback speed hundreds of MB in a core. Change: a limit of bytes, a turn of the event loop for each piece, and the connection is closed after an error.

--- a/rosechute/control_plane/endpoint_list_client.py
+++ b/rosechute/control_plane/endpoint_list_client.py
@@ -9,6 +9,7 @@
 
 CALL_TIMEOUT_S = 0.7  # time limit of one call, including the body of the response
 KEEP_ALIVE_S = 30.0  # an idle connection is closed after this time; far above the interval between two reads
+MAX_PAGE_BYTES = 4 << 20  # body of one page; a longer one is not read to its end
 FETCH_STEP = "fetch a page of the list"
 
 
@@ -45,9 +46,12 @@
     async def _fetch(self, token: str | None) -> Result[EndpointListPage, EndpointListError]:
         query = {"page_token": token} if token else {}
         async with self._open_session().get(f"http://{self.address}/instances", params=query) as response:
-            body = await response.read()
             if response.status != 200:
+                response.close()  # its body is not needed, whatever its length
                 return Failure(EndpointListError(FETCH_STEP, self.address, f"status {response.status}"))
+            body = await _read_page(response)
+            if body is None:
+                return Failure(EndpointListError(FETCH_STEP, self.address, f"more than {MAX_PAGE_BYTES} bytes"))
             return decode_endpoint_list_page(body, self.address)
 
     def _open_session(self) -> aiohttp.ClientSession:
@@ -55,3 +59,15 @@
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False)
             self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False, trust_env=False)
         return self._session
+
+
+async def _read_page(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body of a response; None, once the connection is closed, if it has more than `MAX_PAGE_BYTES`."""
+    body = bytearray()
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > MAX_PAGE_BYTES:
+            response.close()
+            return None
+        await asyncio.sleep(0)  # pieces that have been read already come without a turn of the event loop
+    return bytes(body)
