Messages of one read of a link are handled 64 at a time, and charged while they wait

Cause: a read of 128 KB may hold 26,000 empty messages, all handled in one turn of the event loop; read in the code, not seen in a run. Change: the rest waits for the next turn with reading paused, and counts as held. Order is kept.

--- a/rosechute/messages/link_connection.py
+++ b/rosechute/messages/link_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from loguru import logger
@@ -10,11 +11,13 @@
 from rosechute.listening.connections import STALLED_S, ConnectionTable
 from rosechute.messages.errors import FrameError
 from rosechute.messages.frame_queue import FrameQueue
-from rosechute.messages.framing import FrameReader, MessageKind, encode_frame
+from rosechute.messages.framing import Frame, FrameReader, MessageKind, encode_frame
 from rosechute.messages.socket_options import set_link_options
 from rosechute.proxy.core.shedding import Standing
 
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024  # limit of the transport; further frames wait in a queue that drops the oldest
+MAX_MESSAGES_PER_TURN = 64  # messages of one read that are handled in one turn of the event loop
+MESSAGE_OVERHEAD_BYTES = 150  # memory of a message that waits, besides its bytes
 MEMBER_SILENCE_S = 10.0  # a member of the fleet sends more often than this
 
 OnMessage = Callable[["LinkConnection", MessageKind, bytes], None]
@@ -45,6 +48,9 @@
         self._on_closed = on_closed
         self._reader = FrameReader()
         self._queue = FrameQueue()
+        self._received: deque[Frame] = deque()  # messages that wait for their turn
+        self._received_bytes = 0  # memory of them
+        self._is_reading = True
         self._transport: asyncio.Transport | None = None
         self._is_paused = False
 
@@ -107,8 +113,9 @@
             self.close()
             return
         self._has_received = self._has_received or bool(messages)
-        for kind, message in messages:
-            self._handle(kind, message)
+        self._received.extend(messages)
+        self._received_bytes += sum(len(one.message) + MESSAGE_OVERHEAD_BYTES for one in messages)
+        self._handle_received()
         if self._table is not None and self._reader.held_bytes:
             self._table.relieve()
 
@@ -126,6 +133,7 @@
         """Report the end of the connection; called by asyncio."""
         self._transport = None
         self._queue.clear()
+        self._received.clear()
         if self._table is not None:
             self._table.remove(self)
         self._on_closed(self, str(error) if error else "closed")
@@ -145,7 +153,7 @@
 
     def held_bytes(self) -> int:
         """Return the memory that is free once this connection is closed."""
-        return self._reader.held_bytes + self._queue.size_bytes
+        return self._reader.held_bytes + self._received_bytes + self._queue.size_bytes
 
     def last_active_at(self) -> float:
         """Return the loop time at which the peer last sent anything."""
@@ -156,6 +164,27 @@
         logger.debug("link gave way to others peer={}", self.address)
         self.close()
 
+    def _handle_received(self) -> None:
+        """Handle messages in order, up to a number in one turn; reading is paused while others wait."""
+        for _ in range(min(MAX_MESSAGES_PER_TURN, len(self._received))):
+            frame = self._received.popleft()
+            self._received_bytes -= len(frame.message) + MESSAGE_OVERHEAD_BYTES
+            self._handle(frame.kind, frame.message)
+        if self._received and self._transport is not None:
+            self._set_reading(self._transport, False)
+            asyncio.get_running_loop().call_soon(self._handle_received)
+        elif self._transport is not None:
+            self._set_reading(self._transport, True)
+
+    def _set_reading(self, transport: asyncio.Transport, is_reading: bool) -> None:
+        if is_reading == self._is_reading or transport.is_closing():
+            return
+        self._is_reading = is_reading
+        if is_reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
     def _handle(self, kind: MessageKind, message: bytes) -> None:
         try:
             self._on_message(self, kind, message)
