Servers' responses are bounded in memory and in calls by turn; each refusal names its server

What callers saw: beside 64 callers of a server that sends without end, requests to other servers had no answer within 2 s or got 503, and an edge held 399.8 MB of 260. Cause: a body's pieces were kept as one object each and charged by payload; a 500 could hold 4 MB a caller whatever was left; one read of 128 KB was parsed to its end in one turn, some 20,000 calls; framing without payload had no limit; an incomplete event was copied whole for each further piece, and was not charged, as a kept error response. Change: pieces are joined; responses together hold half of the budget at most, one half of what is left of that; after 256 calls (parser callbacks, lines of a stream) the rest of a read waits for its turn, one connection a turn; framing is limited as for requests; a head is looked at up to its limit only; events and kept errors are charged. New: servers.response_refused, servers.response_costly, rosechute_harmful_responses_total, which name the server, and the responses' part of the memory metric. The planted tests' context got a budget, as requests charge it.

--- a/rosechute/data_plane/client_response.py
+++ b/rosechute/data_plane/client_response.py
@@ -100,6 +100,17 @@
         self._message.connection.pass_on(self._message, data)
         return True
 
+    def calls_for(self, data: bytes) -> int:
+        """Return how many lines of these bytes are looked at one by one; 0 if the response is no event stream."""
+        if self._events is None and self._boundary is None:
+            return 0
+        return data.count(b"\n") + data.count(b"\r")
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that have been received and can't be forwarded yet."""
+        return self._events.held_bytes if self._events is not None else 0
+
     def remaining_bytes(self) -> bytes:
         """Return the bytes that remain to be sent after the end of the server's response.
 
--- a/rosechute/data_plane/connection_pool.py
+++ b/rosechute/data_plane/connection_pool.py
@@ -10,7 +10,10 @@
 
 from rosechute.configuration.process import split_address
 from rosechute.proxy.core.flow import Budget
-from rosechute.proxy.http1.connection import Connection, Reply
+from rosechute.proxy.core.log import LOG
+from rosechute.proxy.core.turns import TurnQueue
+from rosechute.proxy.http1.connection import Connection, Refusal, Reply
+from rosechute.routing.counts import Counts
 from rosechute.routing.model import ServerEntry
 
 CONNECT_TIMEOUT_S = 0.3  # a healthy server accepts within milliseconds
@@ -21,6 +24,10 @@
 KEEPALIVE_PROBE_INTERVAL_S = 1  # TCP_KEEPIDLE and TCP_KEEPINTVL
 KEEPALIVE_PROBES = 2  # TCP_KEEPCNT
 ANY_SUCCESS = range(200, 300)
+HARMFUL_RESPONSES = "harmful_responses"  # counter name
+COSTLY = "costly"  # kind of a response whose reads take several turns of the event loop
+MAX_COUNTED_SERVERS = 50
+OTHER_SERVERS = "others"
 MAX_ERROR_RESPONSE_BYTES = 4 << 20  # body of a response that is not a success
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,; ])timeout *= *\"?([0-9]{1,6})", re.IGNORECASE)
 
@@ -69,10 +76,17 @@
         loop: The event loop; its clock is the steady time.
         budget: Memory budget for bodies.
         max_connections: Limit of connections to all servers together.
+
+    Attributes:
+        budget: Memory budget for bodies.
+        counts: Number of harmful responses by server and kind.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, budget: Budget, max_connections: int) -> None:
-        self._loop, self._budget = loop, budget
+        self._loop, self.budget = loop, budget
+        self.counts = Counts()
+        self._harmful_servers: set[str] = set()
+        self._turns = TurnQueue()
         self.max_connections = max_connections
         self._servers: dict[str, ServerConnections] = {}
         self._limits: dict[str, int] = {}  # maximum number of connections to each server, by service
@@ -180,8 +194,10 @@
             Connection(
                 self._on_connection_lost,
                 MAX_ERROR_RESPONSE_BYTES,
-                budget=self._budget,
+                budget=self.budget,
                 successes=ANY_SUCCESS,
+                turns=self._turns,
+                observer=self,
             ),
             server,
         )
@@ -252,6 +268,27 @@
             self._learn_idle_timeout(server, connection)
         self._uncount(connection)
 
+    # --- ResponseObserver
+
+    def on_response_refused(self, wire: Connection, refusal: Refusal) -> None:
+        """See `ResponseObserver`."""
+        server = _server_id(wire)
+        self._count_harmful(server, refusal.value)
+        LOG.warning("servers.response_refused", server=server, reason=refusal.value)
+
+    def on_response_costly(self, wire: Connection) -> None:
+        """See `ResponseObserver`."""
+        server = _server_id(wire)
+        self._count_harmful(server, COSTLY)
+        LOG.warning("servers.response_costly", server=server)
+
+    def _count_harmful(self, server: str, kind: str) -> None:
+        """Count a harmful response; servers beyond a number share one count, as lists name new ones all the time."""
+        is_known = server in self._harmful_servers or len(self._harmful_servers) < MAX_COUNTED_SERVERS
+        counted = server if is_known else OTHER_SERVERS
+        self._harmful_servers.add(counted)
+        self.counts.add(HARMFUL_RESPONSES, f"{counted} {kind}")
+
     def _learn_idle_timeout(self, server: ServerConnections, connection: PooledConnection) -> None:
         """Shorten the idle time-out after the server has closed a connection that was idle for less."""
         idle_for_s = self._loop.time() - (connection.retire_at - server.idle_timeout_s)
@@ -286,3 +323,8 @@
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_INTERVAL_S)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_INTERVAL_S)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def _server_id(wire: Connection) -> str:
+    """Return the id of the server of a connection; empty if the connection is no longer counted."""
+    return wire.owner.server.id if isinstance(wire.owner, PooledConnection) else ""
--- a/rosechute/data_plane/event_stream.py
+++ b/rosechute/data_plane/event_stream.py
@@ -16,6 +16,7 @@
 _VERSION = re.compile(rb"versions:[ ]*([0-9]+)[ ]*\r?\n")
 _END = re.compile(rb"\n\r?\n")
 _NUMBER = re.compile(rb"[0-9]{1,18}")
+_SPLIT_END_BYTES = 2  # bytes of a blank line that may have arrived before its last one
 
 
 class BrokenStreamError(Exception):
@@ -54,7 +55,7 @@
         self.last_id = last_id
         self.version = version
         self._number = _as_number(last_id)
-        self._partial = b""  # start of an event that is not complete yet
+        self._partial = bytearray()  # start of an event that is not complete yet
         self._has_forwarded = False  # whether any event has been forwarded
         self._last_event_has_id = True  # whether the last forwarded event had an id
         self._may_repeat_events = False  # whether the next events may repeat forwarded ones
@@ -66,14 +67,15 @@
         Raises:
             BrokenStreamError: an event is too long, or its id can't follow the previous one.
         """
+        searched = max(0, len(self._partial) - _SPLIT_END_BYTES)  # the partial event has no blank line before
         if self._partial:
-            data = self._partial + data
-        end = max(data.rfind(b"\n\n") + 2, data.rfind(b"\n\r\n") + 3)
-        if end < 3 and not data.startswith(b"\n\n"):
-            end = 0
-        if len(data) - end > self._max_event_bytes:
+            self._partial += data
+        received = self._partial or data
+        end = _end_of_events(received, searched)
+        if len(received) - end > self._max_event_bytes:
             raise BrokenStreamError("event exceeds the size limit")
-        complete, self._partial = (data, b"") if end == len(data) else (data[:end], data[end:])
+        complete = bytes(received[:end])
+        self._partial = bytearray(received[end:]) if end or not self._partial else self._partial
         return self._filtered(complete) if complete else b""
 
     def finish(self, has_explicit_length: bool = True) -> bytes:
@@ -86,18 +88,23 @@
         Raises:
             BrokenStreamError: a close-delimited response ended inside an event.
         """
-        remaining, self._partial = self._partial, b""
+        remaining, self._partial = bytes(self._partial), bytearray()
         if not has_explicit_length and is_inside_event(remaining):
             raise BrokenStreamError("connection closed inside an event")
         return self._filtered(remaining) if remaining else b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._partial)
+
     def resumable(self) -> bool:
         """Return whether another server can continue exactly after the last forwarded event."""
         return self._last_event_has_id
 
     def start_next_response(self) -> None:
         """Continue with the response of another server, which is to start after the last forwarded event."""
-        self._partial = b""
+        self._partial = bytearray()
         self._may_repeat_events = self._has_forwarded
 
     def _filtered(self, complete: bytes) -> bytes:
@@ -151,6 +158,12 @@
     return int(event_id) if event_id is not None and _NUMBER.fullmatch(event_id) is not None else None
 
 
+def _end_of_events(received: bytes | bytearray, searched: int) -> int:
+    """Return the offset behind the last blank line; 0 if there is none. None begins before the offset `searched`."""
+    end = max(received.rfind(b"\n\n", searched) + 2, received.rfind(b"\n\r\n", searched) + 3)
+    return 0 if end < 3 and not received.startswith(b"\n\n") else end
+
+
 def _split(complete: bytes) -> list[bytes]:
     """Split complete events at their blank lines."""
     events, at = [], 0
--- a/rosechute/data_plane/request.py
+++ b/rosechute/data_plane/request.py
@@ -88,6 +88,7 @@
         "_inactivity",
         "_may_have_executed",
         "_last_error_response",
+        "_charged",
         "_last_result",
         "_client_paused",
         "_deadline",
@@ -106,6 +107,7 @@
         self._inactivity = InactivityWatch(self._loop, admitted)
         self._may_have_executed = False  # by a server, in an attempt that has ended
         self._last_error_response: Reply | None = None  # server's response that is sent if no retry succeeds
+        self._charged = 0  # bytes of servers' responses that are charged to the budget
         self._last_result: AttemptResult | None = None  # result of the last attempt that has ended
         self._client_paused = False  # whether the client accepts no more bytes for now
         self._deadline = admitted.answer_deadline  # time at which the request is aborted in any state
@@ -118,6 +120,8 @@
             self._deadline_timer.cancel()
             self._inactivity.stop()
             self._release_body()
+            self._context.pool.budget.give_response(self._charged)
+            self._charged = 0
             self._context.on_request_finished(self)
 
     def _release_body(self) -> None:
@@ -220,16 +224,34 @@
         self._context.report_attempt(self, attempt.server.id, AttemptResult.HEAD, False)
         return self
 
-    def pass_on(self, data: bytes) -> None:
+    def pass_on(self, data: bytes) -> int:
         """Forward bytes of the server's response to the client. See `rosechute.proxy.core.flow.Sink`."""
         if self.state is not RequestState.STREAMING:
-            return
+            return 0
         self._inactivity.on_bytes_received()
         try:
             if self._response.forward(data):
                 self._inactivity.on_event_forwarded()
+            self._charge_held()
         except BrokenStreamError as error:
             self._abandon_invalid_stream(error)
+        return self._response.calls_for(data)
+
+    def _charge_held(self) -> None:
+        """Charge the budget for what is held of servers' responses.
+
+        Raises:
+            BrokenStreamError: an incomplete event takes more memory than its share.
+        """
+        budget = self._context.pool.budget
+        held = self._response.held_bytes
+        is_over = held > budget.response_share
+        if self._last_error_response is not None:
+            held += self._last_error_response.memory_bytes
+        budget.take_response(held - self._charged)
+        self._charged = held
+        if is_over:
+            raise BrokenStreamError("event exceeds its share of the memory")
 
     def on_attempt_finished(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """See `AttemptOwner`."""
@@ -355,6 +377,7 @@
         """Retry on another server if the request is repeatable or has not been executed; otherwise finish it."""
         if outcome.reply is not None:
             self._last_error_response = outcome.reply
+            self._charge_held()
         will_retry = self._can_retry(outcome) and self._has_time_left()
         if will_retry:
             self._change(RequestState.QUEUED)
--- a/rosechute/fakes/endless_server.py
+++ b/rosechute/fakes/endless_server.py
@@ -1,7 +1,8 @@
 """A faulty server: it answers with bytes without end, until its caller closes.
 
 The query of a request names the form of the answer: `?form=byte_chunks&status=500`, with `&drip=1` in small pieces. A
-request without a form gets an ordinary answer. Run it as a process of its own, so that it takes no time of its callers':
+request without a form gets an ordinary answer. Run it as a process of its own, so that it takes no time of its
+callers':
 
     python -m rosechute.fakes.endless_server HOST PORT
 """
--- a/rosechute/processes/edge_metrics.py
+++ b/rosechute/processes/edge_metrics.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable, Mapping
 
+from rosechute.data_plane.connection_pool import HARMFUL_RESPONSES
 from rosechute.data_plane.plane import REJECTED, REQUESTS, DataPlane
 from rosechute.listening.connections import ConnectionTable
 from rosechute.processes.edge_links import BYTES_SENT, EdgeLinks
@@ -74,9 +75,15 @@
         ),
         Family(
             "request_memory_bytes",
-            "Memory that requests and responses hold (`used`), and their limit (`limit`).",
+            "Memory that requests and responses hold (`used`; `responses`: of servers), and its limit (`limit`).",
             ("state",),
-            by_kind(lambda: {"used": plane.budget.used, "limit": plane.budget.total}),
+            by_kind(
+                lambda: {
+                    "used": plane.budget.used,
+                    "responses": plane.budget.responses_used,
+                    "limit": plane.budget.total,
+                }
+            ),
         ),
         Family(
             "attempts_total",
@@ -84,6 +91,12 @@
             ("result",),
             by_kind(lambda: router.counts.of(ATTEMPTS)),
         ),
+        Family(
+            "harmful_responses_total",
+            "Responses of a server that were not accepted, by reason, or took several turns (`costly`).",
+            ("server", "kind"),
+            lambda: _harmful_responses(plane),
+        ),
         Family(
             "requests_rejected_total",
             "Requests rejected by the router, by reason.",
@@ -171,6 +184,10 @@
     return {tuple(kind.split(" ", 1)): value for kind, value in plane.counts.of(REQUESTS).items()}
 
 
+def _harmful_responses(plane: DataPlane) -> Values:
+    return {tuple(key.rsplit(" ", 1)): value for key, value in plane.pool.counts.of(HARMFUL_RESPONSES).items()}
+
+
 def _servers(router: Router) -> Values:
     found: dict[tuple[str, ...], float] = {}
     for name, service in router.services.items():
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -19,6 +19,8 @@
 SPENT_SLACK_BYTES = MAX_SHARE_BYTES  # bytes over the total at which the budget counts as spent: one body's share
 RELIEF_DIVISOR = 8  # once spent, this fraction of the total is freed, so that the next bytes find room
 MIN_TOTAL_BYTES = 4 << 20  # bytes that may be held however little memory is left
+RESPONSES_DIVISOR = 2  # responses that are buffered may hold this fraction of the total together
+RESPONSE_SHARE_DIVISOR = 2  # one of them may hold this fraction of what is left of that
 PIECE_BYTES = 4096  # shorter pieces of a body are joined: each object costs more than the bytes of a short one
 HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
@@ -32,6 +34,7 @@
 
     def __init__(self, memory_mb: int) -> None:
         self.used = 0
+        self.responses_used = 0  # the part of it that servers' responses hold
         self._restricted_total: int | None = None
         self.resize(memory_mb, 1)
 
@@ -78,6 +81,21 @@
         """Record that `size` bytes were released."""
         self.used -= size
 
+    def take_response(self, size: int) -> None:
+        """Record that a server's response holds `size` more bytes, or fewer if it is negative."""
+        self.used += size
+        self.responses_used += size
+
+    def give_response(self, size: int) -> None:
+        """Record that a server's response has released `size` bytes."""
+        self.take_response(-size)
+
+    @property
+    def response_share(self) -> int:
+        """Number of bytes that one server's response may hold now, with the memory of its headers."""
+        free = self.total // RESPONSES_DIVISOR - self.responses_used
+        return max(MIN_SHARE_BYTES, free // RESPONSE_SHARE_DIVISOR)
+
     @property
     def share(self) -> int:
         """Number of bytes that one body may hold now."""
@@ -193,6 +211,6 @@
 class Sink(Protocol):
     """Destination of a streamed response."""
 
-    def pass_on(self, data: bytes) -> None:
-        """Forward a piece of the response."""
+    def pass_on(self, data: bytes) -> int:
+        """Forward a piece of the response; return the number of calls that its content costs."""
         ...
--- a/rosechute/proxy/core/ports.py
+++ b/rosechute/proxy/core/ports.py
@@ -72,8 +72,8 @@
     def begin(self, reply: R_contra, length: int | None, source: Source) -> bool:
         """Start an answer that is streamed from `source`; return whether the client is still connected."""
 
-    def pass_on(self, data: bytes) -> None:
-        """Send more data of a streamed answer."""
+    def pass_on(self, data: bytes) -> int:
+        """Send more data of a streamed answer; return the number of calls that its content costs."""
 
     def end(self, is_complete: bool) -> None:
         """End a streamed answer; the client can detect that it is incomplete."""
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -18,16 +18,13 @@
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.core.shedding import Standing
 from rosechute.proxy.http1 import quick
+from rosechute.proxy.http1.framing import has_excess_framing
 from rosechute.proxy.http1.message import Headers, Message, head
 
 MAX_BODY = 33 << 20  # bytes of a request's body; 32 MB are guaranteed
 STREAM_PARSE_BYTES = 64 * 1024  # bytes parsed at a time within a streamed body, where no request can begin
 MAX_HEAD = 32 * 1024  # bytes
 MAX_SIMPLE_HEAD = 8 * 1024  # bytes of a head that is parsed at once; the parser takes a longer one in pieces
-# Bytes that a body may take with its chunk sizes, extensions and trailers, for each byte of its payload, and besides.
-# A chunk of one byte has five.
-MAX_FRAMING_RATIO = 16
-MAX_FRAMING_BYTES = 64 * 1024
 # A body is finely chunked if its framing takes more than this fraction of its payload. It costs much more time than
 # another of its size, and is parsed in turns of so many bytes.
 FINE_FRAMING_DIVISOR = 4
@@ -409,7 +406,7 @@
         # Received bytes are counted, as the parser reports a header only at its end and buffers it until then.
         if self._in_head and self._message_bytes > self._limits.max_head:
             self._error_status = self._error_status or 431
-        if self._framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._size and not self._in_head:
+        if has_excess_framing(self._framing_bytes, self._size) and not self._in_head:
             self._error_status = self._error_status or 400
         # If a request in this piece got an error response, the data behind it gets no second one.
         if self._error_status and not self._discards_input:
--- a/rosechute/proxy/http1/connection.py
+++ b/rosechute/proxy/http1/connection.py
@@ -3,23 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import re
 import select
 import socket
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
-from rosechute.proxy.core.flow import Body, Budget, Sink
+from rosechute.proxy.core.flow import HEADER_OVERHEAD_BYTES, Body, Budget, Pieces, Sink
 from rosechute.proxy.core.receive_buffers import LARGE_RECEIVE_BUFFER_BYTES
+from rosechute.proxy.core.turns import TurnQueue
 from rosechute.proxy.http1 import quick
+from rosechute.proxy.http1.framing import has_excess_framing
 
 MAX_BODY = 33 << 20  # bytes of a streamed response; 32 MB are guaranteed
 MAX_BUFFERED_BODY = 1 << 20  # bytes of a response that is buffered
 HOLD_BYTES = 64 * 1024  # a response up to this size is checked to its end before any of it is forwarded
 HOLD_S = 0.15  # how long a response of unknown size is held back for this check
 MAX_HEAD = 16 * 1024  # bytes of the heads of one response, including preceding 1xx responses
+PARSE_BYTES = 4096  # bytes parsed at a time: limits the calls that one step makes
+MAX_CALLS_PER_TURN = 256  # parser callbacks, and lines of a stream, after which the rest of a read waits for its turn
 DIGITS = re.compile(rb"[0-9]{1,18}")
 # Some parsers take one of these for the end of a header or of the head.
 CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -35,6 +40,11 @@
     def __init__(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         self.status, self.headers, self.body = status, headers, body
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that it takes, in bytes."""
+        return len(self.body) + memory_of_headers(self.headers)
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
         for key, value in self.headers:
@@ -43,16 +53,45 @@
         return None
 
 
+def memory_of_headers(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the memory that headers take with their objects, in bytes."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in headers)
+
+
 Done = Callable[["Reply | None"], None]  # called with the response, or with `None` for a failed exchange
 Begin = Callable[["Reply", "int | None"], "Sink | None"]  # called with a response's head and length; returns its sink
 Wrote = Callable[[], None]  # called once the request is fully written
 Echo = tuple[bytes, bytes]  # a lower-case header name and the value that identifies responses to a request
 
 
+class Refusal(enum.Enum):
+    """Why a response is not accepted. The values appear in the log and as labels of a metric."""
+
+    MALFORMED = "malformed"  # can't be parsed, or its framing is ambiguous
+    HEAD = "head"  # its heads are too long
+    BODY = "body"  # its body is too long
+    FRAMING = "framing"  # it has much more framing than payload
+    STALLED = "stalled"  # it has paused for too long
+    MEMORY = "memory"  # it takes more memory than its share
+    UNWANTED = "unwanted"  # its receiver does not take it as a stream
+
+
 class InvalidResponseError(Exception):
     """The received data is not a valid response; raised in a parser callback to stop the parser."""
 
 
+class ResponseObserver(Protocol):
+    """Is told of servers' responses that harm this process."""
+
+    def on_response_refused(self, connection: Connection, refusal: Refusal) -> None:
+        """Record that a response was not accepted."""
+        ...
+
+    def on_response_costly(self, connection: Connection) -> None:
+        """Record that one read of a response takes several turns of the event loop."""
+        ...
+
+
 class Connection(asyncio.Protocol):
     """One HTTP/1.1 client connection, with one exchange at a time and no retries.
 
@@ -66,6 +105,8 @@
         budget: Memory budget to which buffered bodies are charged.
         trust_end: Whether a close by the server ends a response that has no length.
         successes: Statuses of responses that may be streamed.
+        turns: Turns for reads that cost much work; shared by connections, so that they take turns.
+        observer: Is told of harmful responses.
 
     Attributes:
         touched: Whether any byte of the last request was written.
@@ -85,8 +126,12 @@
         budget: Budget | None = None,
         trust_end: bool = True,
         successes: range = STREAMED_STATUSES,
+        turns: TurnQueue | None = None,
+        observer: ResponseObserver | None = None,
     ) -> None:
         self._on_lost = on_lost
+        self._turns = turns if turns is not None else TurnQueue()
+        self._observer = observer
         self._successes = successes
         self._trust_end = trust_end
         self._max_body = self._limit = max_body
@@ -110,7 +155,17 @@
         self._hold_timer: asyncio.TimerHandle | None = None
         self.progress = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._headers_memory = 0  # bytes, of `_headers` with their objects
+        self._body = Pieces()
+        self._charged = 0  # bytes that are charged to the budget
+        self._unparsed = b""  # data that was read, and is parsed up to `_unparsed_at`
+        self._unparsed_at = 0
+        self._calls = 0  # calls that this turn has made
+        self._is_costly = False  # a read of this response took several turns: later ones wait for theirs
+        self._is_deferred = False  # waits for its turn
+        self._is_receiver_paused = False  # the receiver of a streamed response is slow
+        self._is_reading = True
+        self._refusal = Refusal.MALFORMED  # of the data being parsed, if the parser rejects it
         self._size = self._raw = 0
         self._in_head = True
         self._complete = False
@@ -160,26 +215,82 @@
             if found is not None and (self._echo is None or self._echo in found[0]):
                 self._finish(Reply(200, found[0], found[1]))
                 return
-        self._raw += len(data)
+        self._unparsed = b"".join((self._unparsed[self._unparsed_at :], data)) if self._unparsed else data
+        self._unparsed_at = 0
+        if self._is_costly or self._is_receiver_paused:
+            self._wait_for_turn()
+        else:
+            self._take_turn()
+
+    def _take_turn(self) -> None:
+        """Parse the data that was read until enough calls were made; the rest waits for the next turn."""
+        self._calls = 0
+        while self._unparsed and self._on_done is not None and not self._is_receiver_paused:
+            if self._calls >= MAX_CALLS_PER_TURN:
+                self._become_costly()
+                break
+            piece = self._unparsed[self._unparsed_at : self._unparsed_at + PARSE_BYTES]
+            self._unparsed_at += len(piece)
+            if self._unparsed_at >= len(self._unparsed):
+                self._unparsed, self._unparsed_at = b"", 0
+            self._parse(piece)
+        self._pass_on()
+        self._charge()
+        if self._unparsed:
+            self._wait_for_turn()
+        elif self._on_done is not None and not self._is_receiver_paused:
+            self._set_reading(True)
+
+    def _become_costly(self) -> None:
+        """Have this and later reads of the response wait for their turns."""
+        if not self._is_costly:
+            self._is_costly = True
+            if self._observer is not None:
+                self._observer.on_response_costly(self)
+
+    def _wait_for_turn(self) -> None:
+        """Pause reading until the data that was read has had its turn."""
+        self._set_reading(False)
+        self._charge()
+        if self._unparsed and not self._is_deferred and not self._is_receiver_paused:
+            self._is_deferred = True
+            self._turns.add(self._on_turn)
+
+    def _on_turn(self) -> None:
+        """Parse the next part of the data that was read."""
+        self._is_deferred = False
+        if self._on_done is not None and not self._is_receiver_paused:
+            self._take_turn()
+
+    def _parse(self, piece: bytes) -> None:
+        """Parse a piece of the response; forward, buffer or refuse it."""
+        assert self._parser is not None
+        self._raw += len(piece)
         is_invalid = False
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserError:  # also raised for exceptions in callbacks and for protocol switches
             is_invalid = True
         if self._complete:
             # Data that follows belongs to no request. The response stays valid, but the connection is closed.
-            self.reusable = self.reusable and not is_invalid
+            rest = self._unparsed[self._unparsed_at :]
+            self.reusable = self.reusable and not is_invalid and not rest.strip(b"\r\n")
             self._end()
-        elif is_invalid or (self._in_head and self._raw > MAX_HEAD):
-            self._fail_invalid()
+        elif is_invalid:
+            self._refuse(self._refusal)
+        elif self._in_head and self._raw > MAX_HEAD:
+            self._refuse(Refusal.HEAD)
+        elif has_excess_framing(self._raw - MAX_HEAD, self._size):
+            self._refuse(Refusal.FRAMING)
         elif self._sink is not None:
-            self._pass_on()
+            if self._is_eager:
+                self._pass_on()
         elif self._should_stream():
             self._start_streaming()
         elif self._stall_s:
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
-            self._stall_timer = asyncio.get_running_loop().call_later(self._stall_s, self._fail_invalid)
+            self._stall_timer = asyncio.get_running_loop().call_later(self._stall_s, self._refuse, Refusal.STALLED)
 
     def eof_received(self) -> None:
         """Complete a response that ends with the connection.
@@ -198,9 +309,11 @@
         self._finish(None)
         self._on_lost(self)
 
-    def _fail_invalid(self) -> None:
-        """Fail the exchange because its response is invalid or stalls."""
+    def _refuse(self, refusal: Refusal) -> None:
+        """Fail the exchange because its response is not accepted."""
         self.is_response_invalid = True
+        if self._observer is not None and self._on_done is not None:
+            self._observer.on_response_refused(self, refusal)
         self.abort()
         self._finish(None)
 
@@ -211,12 +324,16 @@
         if self._complete:
             self.reusable = False  # a second response to one request
             raise InvalidResponseError
-        self._headers, self._body, self._size = [], [], 0
+        self._headers, self._headers_memory = [], 0
+        self._body, self._size = Pieces(), 0
         self._in_head = True
+        self._calls += 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore trailers."""
+        self._calls += 1
         if self._in_head:
+            self._headers_memory += len(name) + len(value) + HEADER_OVERHEAD_BYTES
             self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
@@ -244,6 +361,7 @@
             raise InvalidResponseError
         self._limit = MAX_BODY if self._on_begin is not None and status in self._successes else self._max_body
         if lengths and (DIGITS.fullmatch(lengths[0]) is None or int(lengths[0]) > self._limit):
+            self._refusal = Refusal.BODY
             raise InvalidResponseError
         self._length = int(lengths[0]) if lengths else None
         self._ends_at_close = not codings and not lengths and status not in BODILESS_STATUSES
@@ -258,14 +376,13 @@
         Raises:
             InvalidResponseError: The body is too long.
         """
+        self._calls += 1
         self._size += len(body)
         if self._size > self._limit:
+            self._refusal = Refusal.BODY
             raise InvalidResponseError
-        if self._is_stale:
-            return
-        self._body.append(body)
-        if self._budget is not None:
-            self._budget.take(len(body))
+        if not self._is_stale:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it is informational or belongs to an earlier request."""
@@ -317,6 +434,7 @@
         self._on_done, self._complete, self._raw, self._in_head = done, False, 0, True
         self._written = self.touched = False
         self._is_eager, self._echo, self._is_stale = eager, echo, False
+        self._is_costly, self._refusal = False, Refusal.MALFORMED
         if self._transport.is_closing():
             # A server at its connection limit accepts and closes: the transport may be closing before the first
             # send, and a write would then raise and leave the attempt without an outcome.
@@ -370,13 +488,29 @@
 
     def pause(self) -> None:
         """Pause reading: the receiver of a streamed response is slow."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._is_receiver_paused = True
+        self._set_reading(False)
 
     def resume(self) -> None:
-        """Resume reading."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        """Resume reading, once the data that was read has been parsed."""
+        self._is_receiver_paused = False
+        if self._unparsed:
+            self._wait_for_turn()
+        else:
+            self._set_reading(True)
+
+    def _set_reading(self, is_reading: bool) -> None:
+        """Pause or resume reading from the socket."""
+        if is_reading == self._is_reading:
+            return
+        self._is_reading = is_reading
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if is_reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
 
     def _should_stream(self) -> bool:
         """Return whether to start streaming the response; hold back a short or unknown one for a while."""
@@ -396,23 +530,33 @@
             return
         self._sink = begin(Reply(self._status, self._headers, b""), self._length)
         if self._sink is None:
-            self._fail_invalid()
+            self._refuse(Refusal.UNWANTED)
         else:
             self._pass_on()
+            self._charge()
 
     def _pass_on(self) -> None:
         """Forward the buffered part of a streamed response."""
-        sink, data = self._sink, self._take_buffered()
-        if sink is not None and data:
-            sink.pass_on(data)
+        sink = self._sink
+        if sink is None or not self._body.size:
+            return
+        self._calls += sink.pass_on(self._take_buffered())
 
     def _take_buffered(self) -> bytes:
         """Remove and return the buffered part of the body."""
-        data = b"".join(self._body)
-        self._body = []
-        if self._budget is not None:
-            self._budget.give(len(data))
-        return data
+        body, self._body = self._body, Pieces()
+        return body.join()
+
+    def _charge(self) -> None:
+        """Charge what the response holds; refuse it if that is more than its share."""
+        budget = self._budget
+        if budget is None:
+            return
+        held = self._headers_memory + self._body.size + len(self._unparsed)
+        budget.take_response(held - self._charged)
+        self._charged = held
+        if held > budget.response_share and self._on_done is not None:
+            self._refuse(Refusal.MEMORY)
 
     def _end(self) -> None:
         """Complete the exchange with a complete response."""
@@ -450,8 +594,15 @@
         self._stall_timer = self._hold_timer = None
 
     def _release_exchange(self) -> None:
-        """Release the buffers and references of the exchange."""
-        self._take_buffered()
+        """Release the buffers and references of the exchange, and read on."""
+        self._headers, self._headers_memory = [], 0
+        self._body = Pieces()
+        self._unparsed, self._unparsed_at = b"", 0
+        if self._budget is not None:
+            self._budget.give_response(self._charged)
+            self._charged = 0
+        self._is_receiver_paused = False
+        self._set_reading(True)
         if self._request is not None:
             self._request.sink = None
         self._request = self._sink = self._on_begin = None
@@ -459,7 +610,6 @@
     def _finish(self, reply: Reply | None) -> None:
         """End the exchange and report its response, or `None` for a failure."""
         self._cancel_timers()
-        self._headers = []
         self._release_exchange()
         done, self._on_done = self._on_done, None
         if done is not None:
--- a/rosechute/proxy/http1/message.py
+++ b/rosechute/proxy/http1/message.py
@@ -176,9 +176,10 @@
         """Start a streamed response; return whether the client can still receive it."""
         return self.connection.begin_response(self, 200, forwarded_headers(reply), length, source)
 
-    def pass_on(self, data: bytes) -> None:
-        """Send a part of a streamed response."""
+    def pass_on(self, data: bytes) -> int:
+        """Send a part of a streamed response. Its content costs no calls. See `rosechute.proxy.core.flow.Sink`."""
         self.connection.pass_on(self, data)
+        return 0
 
     def end(self, whole: bool) -> None:
         """End a streamed response; if it is incomplete, so that the client detects it."""
--- a/rosechute/proxy/http1/quick.py
+++ b/rosechute/proxy/http1/quick.py
@@ -29,7 +29,7 @@
 
 def request(data: bytes, max_head: int, max_body: int) -> Request | None:
     """Parse `data` as exactly one complete request; return `None` if the parser is needed."""
-    matched = REQUEST.match(data)
+    matched = REQUEST.match(data, 0, max_head)
     if matched is None:
         return None
     end = matched.end()
@@ -39,7 +39,6 @@
         len(fields_by_name) != len(fields)
         or b"host" not in fields_by_name
         or not SPECIAL_FIELDS.isdisjoint(fields_by_name)
-        or end > max_head
     ):
         return None
     if fields_by_name.get(b"connection") not in KEEP_ALIVE_VALUES:
@@ -59,7 +58,7 @@
 
     Return its fields and its body, or `None` if the parser is needed.
     """
-    matched = REPLY.match(data)
+    matched = REPLY.match(data, 0, max_head)
     if matched is None:
         return None
     end = matched.end()
@@ -75,7 +74,7 @@
     size = len(data) - end
     if length is None or LENGTH.fullmatch(length) is None or int(length) != size:
         return None
-    if size > max_body or end > max_head:
+    if size > max_body:
         return None
     return fields, data[end:]
 
--- a/rosechute/proxy/http1/upstream.py
+++ b/rosechute/proxy/http1/upstream.py
@@ -11,7 +11,8 @@
 from rosechute.proxy.core.address import Address
 from rosechute.proxy.core.flow import Body, Budget, Sink
 from rosechute.proxy.core.log import LOG
-from rosechute.proxy.http1.connection import Begin, Connection, Reply, Wrote
+from rosechute.proxy.core.turns import TurnQueue
+from rosechute.proxy.http1.connection import Begin, Connection, Refusal, Reply, Wrote
 from rosechute.proxy.http1.pool import Demand, PreconnectTerms
 
 OK = How.OK
@@ -350,6 +351,7 @@
     ) -> None:
         self.loop = loop
         self._budget = budget
+        self._turns = TurnQueue()
         self.max_connections = max_connections
         self.adjust(connect_timeout_ns, idle_ns, stall_s)
         self._connections: set[Connection] = set()
@@ -557,7 +559,9 @@
         Raises:
             OSError: The connection could not be opened in time.
         """
-        connection = Connection(self._on_lost, stall_s=self._stall_s, budget=self._budget)
+        connection = Connection(
+            self._on_lost, stall_s=self._stall_s, budget=self._budget, turns=self._turns, observer=self
+        )
         self._opening += 1
         try:
             async with asyncio.timeout(self.connect_timeout_s):
@@ -584,6 +588,16 @@
             if not connection.answered:
                 pool.demand.record_failure(self.loop.time())
 
+    # --- ResponseObserver
+
+    def on_response_refused(self, connection: Connection, refusal: Refusal) -> None:
+        """See `ResponseObserver`."""
+        LOG.warning("servers.response_refused", server=_server_address(connection), reason=refusal.value)
+
+    def on_response_costly(self, connection: Connection) -> None:
+        """See `ResponseObserver`."""
+        LOG.warning("servers.response_costly", server=_server_address(connection))
+
     def _sweep(self) -> None:
         """Close connections that have been idle for long, well before the server does.
 
@@ -594,3 +608,9 @@
             while pool.idle and pool.idle[0].idle_since <= oldest:
                 pool.idle.pop(0).close()
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+
+def _server_address(connection: Connection) -> str:
+    """Return the address of the server of a connection; empty if it is no longer in a pool."""
+    pool = connection.owner
+    return f"{pool.address.host}:{pool.address.port}" if isinstance(pool, ServerPool) else ""
--- a/setup.py
+++ b/setup.py
@@ -24,6 +24,7 @@
         "rosechute/proxy/core/clock.py",
         "rosechute/proxy/core/flow.py",
         "rosechute/proxy/http1/quick.py",
+        "rosechute/proxy/http1/framing.py",
         "rosechute/proxy/http1/admission.py",
         "rosechute/proxy/http1/backend.py",
         "rosechute/proxy/http1/pool.py",
--- a/tests/crowds/endless_callers.py
+++ b/tests/crowds/endless_callers.py
@@ -1,7 +1,8 @@
 """Callers of a faulty server through a process under test, in a process of their own.
 
-Run: `python -m tests.crowds.endless_callers HOST PORT COUNT TARGET...`. The callers share the targets evenly. Every other
-caller reads nothing of its answers. A caller whose connection is closed comes back. They go on until the process is ended.
+Run: `python -m tests.crowds.endless_callers HOST PORT COUNT TARGET...`. The callers share the targets evenly. Every
+other caller reads nothing of its answers. A caller whose connection is closed comes back. They go on until the
+process is ended.
 """
 
 from __future__ import annotations
--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -52,11 +52,14 @@
         words.DEADLINE_MS: f"{DEADLINE_S * 1e3:.0f}",
     }
     url = f"http://{fleet.edge.ip}:{FRONT_PORT}/plain/1"
-    async with asyncio.timeout(DEADLINE_S), aiohttp.ClientSession() as session:
-        async with session.post(url, headers=headers, data=b"ordinary") as response:
-            answer = await response.read()
-            assert response.status == 200, f"ordinary request {number}: status {response.status}"
-            assert answer == words.plain_body("/plain/1", b"ordinary")
+    async with (
+        asyncio.timeout(DEADLINE_S),
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers, data=b"ordinary") as response,
+    ):
+        answer = await response.read()
+        assert response.status == 200, f"ordinary request {number}: status {response.status}"
+        assert answer == words.plain_body("/plain/1", b"ordinary")
 
 
 async def ordinary_requests(fleet: Deployment) -> None:
--- a/tests/fleet/test_planted_data_plane_requests.py
+++ b/tests/fleet/test_planted_data_plane_requests.py
@@ -32,6 +32,7 @@
 from rosechute.data_plane.request_state import RequestState
 from rosechute.data_plane.route_durations import RouteDurations
 from rosechute.data_plane.server_request import ResumePoint, serialize_attempt
+from rosechute.proxy.core.flow import Budget
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.http1.connection import Reply
 from rosechute.routing.model import AttemptResult, RejectReason, Send
@@ -448,7 +449,7 @@
         self.refused: Rejection | None = None
         self.elsewhere = True
         self.known = {name: SimpleNamespace(id=name, ready=True) for name in ("s1", "s2")}
-        self.pool = SimpleNamespace(find=self.known.get)
+        self.pool = SimpleNamespace(find=self.known.get, budget=Budget(128))
 
     def request_quota(self, request: ClientRequest) -> None:
         self.done.append("spend")
