--- a/tests/crowds/test_crowd_sidecar.py
+++ b/tests/crowds/test_crowd_sidecar.py
@@ -76,14 +76,15 @@
 
 
 @contextlib.asynccontextmanager
-async def sidecar_process(folder: Path) -> AsyncIterator[RunningSidecar]:
+async def sidecar_process(folder: Path, faulty_port: int | None = None) -> AsyncIterator[RunningSidecar]:
+    """Run a sidecar in front of a sound server, or of a faulty one at this port."""
     ip = f"127.{reserve_network()}.9.1"
     port, control = free_port(), free_port()
     async with Server(ok) as server:
         raw = config(
             listen=f"{ip}:{port}",
             control=f"127.0.0.1:{control}",
-            known=listing(line("s1", server.port)),
+            known=listing(line("s1", faulty_port or server.port)),
             limits={"sockets": MAX_SOCKETS, "memory_mb": MEMORY_MB},
         )
         process = await asyncio.create_subprocess_exec(
