Tests of bounds of responses, of endless lists, and a faulty server in the soak

The watch of memory counts what the kernel holds unread from the faulty server too. The edge's test checks that the metric names it.

--- a/rosechute/fakes/endless_server.py
+++ b/rosechute/fakes/endless_server.py
@@ -1,15 +1,16 @@
 """A faulty server: it answers with bytes without end, until its caller closes.
 
 The query of a request names the form of the answer: `?form=byte_chunks&status=500`, with `&drip=1` in small pieces. A
-request without a form gets an ordinary answer. Run it as a process of its own, so that it takes no time of its
-callers':
+request without a form gets that of the command line, or an ordinary answer. Run it as a process of its own, so that
+it takes no time of its callers':
 
-    python -m rosechute.fakes.endless_server HOST PORT
+    python -m rosechute.fakes.endless_server HOST PORT [FORM STATUS]
 """
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import re
 import sys
 from typing import NamedTuple
@@ -59,15 +60,15 @@
 }
 
 
-async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer the requests of one connection until the caller closes it."""
+async def serve(default_query: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer the requests of one connection until it is closed; `default_query` is for those without a form."""
     try:
         while True:
             head = await reader.readuntil(b"\r\n\r\n")
             length = _LENGTH.search(head)
             if length is not None:
                 await reader.readexactly(int(length[1]))
-            await _answer(head, writer)
+            await _answer(head if _FORM.search(head) else head + default_query, writer)
     except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
         pass
     finally:
@@ -97,12 +98,13 @@
             await asyncio.sleep(DRIP_PAUSE_S)
 
 
-async def main(host: str, port: int) -> None:
+async def main(host: str, port: int, form: str = "", status: str = "200") -> None:
     """Listen until the process is ended."""
-    server = await asyncio.start_server(serve, host, port)
+    default_query = f"?form={form}&status={status}".encode() if form else b""
+    server = await asyncio.start_server(functools.partial(serve, default_query), host, port)
     print("listening", flush=True)
     await server.serve_forever()
 
 
 if __name__ == "__main__":
-    asyncio.run(main(sys.argv[1], int(sys.argv[2])))
+    asyncio.run(main(sys.argv[1], int(sys.argv[2]), *sys.argv[3:]))
--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -7,7 +7,7 @@
 import resource
 import signal
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -187,19 +187,21 @@
 
 
 @contextlib.asynccontextmanager
-async def bounded(node: FleetNode, memory_mb: int = MEMORY_MB, max_fds: int = MAX_FDS) -> AsyncIterator[None]:
+async def bounded(
+    node: FleetNode, memory_mb: int = MEMORY_MB, max_fds: int = MAX_FDS, server_ips: Sequence[str] = ()
+) -> AsyncIterator[None]:
     """Check that a process of the fleet stays within the limits of its settings: see `bounded_process`."""
     assert node.process is not None
-    async with bounded_process(node.process, node.ip, memory_mb, max_fds):
+    async with bounded_process(node.process, node.ip, memory_mb, max_fds, server_ips):
         yield
 
 
 @contextlib.asynccontextmanager
 async def bounded_process(
-    process: asyncio.subprocess.Process, ip: str, memory_mb: int, max_fds: int
+    process: asyncio.subprocess.Process, ip: str, memory_mb: int, max_fds: int, server_ips: Sequence[str] = ()
 ) -> AsyncIterator[None]:
     """Check that a process lives on and stays within these limits, and that its descriptors come back at the end."""
-    watch = Watch(process.pid, ip)
+    watch = Watch(process.pid, ip, server_ips=server_ips)
     before = watch.descriptors()
     watch.start()
     try:
--- a/tests/crowds/faulty_server.py
+++ b/tests/crowds/faulty_server.py
@@ -13,9 +13,10 @@
 
 
 @contextlib.asynccontextmanager
-async def endless_server(host: str, port: int) -> AsyncIterator[str]:
-    """Run a faulty server; the value is its address."""
-    async with _process("rosechute.fakes.endless_server", host, str(port)) as process:
+async def endless_server(host: str, port: int, form: str = "", status: int = 200) -> AsyncIterator[str]:
+    """Run a faulty server; the value is its address. Requests that name no form get this one, if it is not empty."""
+    default = (form, str(status)) if form else ()
+    async with _process("rosechute.fakes.endless_server", host, str(port), *default) as process:
         assert process.stdout is not None
         async with asyncio.timeout(START_TIMEOUT_S):
             await process.stdout.readline()
@@ -23,10 +24,12 @@
 
 
 @contextlib.asynccontextmanager
-async def endless_callers(address: tuple[str, int], count: int, targets: Sequence[str]) -> AsyncIterator[None]:
+async def endless_callers(
+    address: tuple[str, int], count: int, targets: Sequence[str], credential: str = ""
+) -> AsyncIterator[None]:
     """Have callers request these targets again and again."""
     host, port = address
-    async with _process("tests.crowds.endless_callers", host, str(port), str(count), *targets):
+    async with _process("tests.crowds.endless_callers", host, str(port), str(count), credential, *targets):
         yield
 
 
--- a/tests/crowds/test_crowd_sidecar.py
+++ b/tests/crowds/test_crowd_sidecar.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from backend import Client, Server, line, listing, ok, operate
+from backend import Client, Server, line, listing, ok, operate, settings
 from test_process import ROOT, SIDECAR_COMMAND, config, free_port, next_log_line, write_config
 
 from rosechute.fakes.fleet.loopback_network import reserve_network
@@ -76,7 +76,9 @@
 
 
 @contextlib.asynccontextmanager
-async def sidecar_process(folder: Path, faulty_port: int | None = None) -> AsyncIterator[RunningSidecar]:
+async def sidecar_process(
+    folder: Path, faulty_port: int | None = None, discovery_port: int = 1
+) -> AsyncIterator[RunningSidecar]:
     """Run a sidecar in front of a sound server, or of a faulty one at this port."""
     ip = f"127.{reserve_network()}.9.1"
     port, control = free_port(), free_port()
@@ -84,6 +86,8 @@
         raw = config(
             listen=f"{ip}:{port}",
             control=f"127.0.0.1:{control}",
+            discovery=f"127.0.0.1:{discovery_port}",
+            settings=settings(discovery="subscribe"),
             known=listing(line("s1", faulty_port or server.port)),
             limits={"sockets": MAX_SOCKETS, "memory_mb": MEMORY_MB},
         )
--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -14,6 +14,7 @@
 from rosechute.fakes.fleet import words
 from rosechute.fakes.fleet.platform import Instance
 from rosechute.fakes.fleet.processes import FRONT_PORT
+from rosechute.processes.metrics import EDGE_PORT
 from tests.crowds.deployment import CONFIGURATION, HOST, ZONE, Deployment, bounded, deployment, restart
 from tests.crowds.faulty_server import endless_callers, endless_server
 
@@ -74,6 +75,14 @@
     print(f"{number} ordinary requests, slowest {slowest:.2f} s")
 
 
+async def metrics_name_the_faulty_server(fleet: Deployment) -> None:
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{fleet.edge.ip}:{EDGE_PORT}/metrics") as response,
+    ):
+        assert 'harmful_responses_total{server="i-faulty"' in await response.text()
+
+
 @pytest.mark.parametrize("form", FORMS)
 def test_endless_response_leaves_memory_and_time_for_other_requests(form):
     async def scenario():
@@ -82,13 +91,14 @@
             async with endless_server(host, SERVER_PORT) as address:
                 fleet.platform.put(Instance(id="i-faulty", service=FAULTY, address=address, zone=ZONE, slots=200))
                 await asyncio.sleep(1.0)
-                async with bounded(fleet.edge, MEMORY_MB):
+                async with bounded(fleet.edge, MEMORY_MB, server_ips=(host,)):
                     for status in STATUSES:
                         targets = [f"/{name}/1?form={form}&status={status}" for name in ROUTE_TYPES]
                         print(form, status)
                         async with endless_callers((fleet.edge.ip, FRONT_PORT), CALLERS, targets):
                             await ordinary_requests(fleet)
                             await fleet.probe_readiness()
+                    await metrics_name_the_faulty_server(fleet)
                 await restart(fleet.fleet, fleet.edge)
 
     asyncio.run(scenario())
--- a/tests/crowds/test_faulty_server_sidecar.py
+++ b/tests/crowds/test_faulty_server_sidecar.py
@@ -33,6 +33,21 @@
     print(f"slowest {slowest:.2f} s")
 
 
+@pytest.mark.parametrize("form", FORMS)
+def test_endless_list_of_discovery_leaves_memory_and_time_for_the_sidecars_other_work(tmp_path, form):
+    async def scenario():
+        port = free_port()
+        async with (
+            endless_server("127.0.0.1", port, form),
+            sidecar_process(tmp_path, discovery_port=port) as sidecar,
+            bounded_process(sidecar.process, sidecar.ip, MEMORY_MB, MAX_SOCKETS),
+        ):
+            await operators_are_answered(sidecar.control)
+            await sidecar.everyone_is_answered()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("form", FORMS)
 def test_endless_response_leaves_memory_and_time_for_the_sidecars_other_work(tmp_path, form):
     async def scenario():
--- a/tests/crowds/watch.py
+++ b/tests/crowds/watch.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import threading
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -35,6 +36,11 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
 
 
+def _kernel_name(ip: str) -> str:
+    """Return how the kernel's table of sockets writes an address, up to the port."""
+    return f"{struct.unpack('<I', socket.inet_aton(ip))[0]:08X}:"
+
+
 class Watch(threading.Thread):
     """Samples one process until `stop`.
 
@@ -44,13 +50,17 @@
         pid: The process.
         ip: Its address, which no other process of the test uses.
         interval_s: Seconds between two samples.
+        server_ips: Addresses of servers that no other process of the test calls.
     """
 
-    def __init__(self, pid: int, ip: str, interval_s: float = SAMPLE_INTERVAL_S) -> None:
+    def __init__(
+        self, pid: int, ip: str, interval_s: float = SAMPLE_INTERVAL_S, server_ips: Sequence[str] = ()
+    ) -> None:
         super().__init__(daemon=True)
         self.peaks = Peaks()
         self._pid, self._interval_s = pid, interval_s
-        self._local = f"{struct.unpack('<I', socket.inet_aton(ip))[0]:08X}:"
+        self._local = _kernel_name(ip)
+        self._servers = tuple(_kernel_name(server) for server in server_ips)
         self._stop_requested = threading.Event()
 
     def run(self) -> None:
@@ -85,6 +95,7 @@
         for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = row.split()
             is_listening = fields[3] == "0A"  # the queue of a listening socket counts connections
-            if fields[1].startswith(self._local) and not is_listening:
+            is_own = fields[1].startswith(self._local) or fields[2].startswith(self._servers)
+            if is_own and not is_listening:
                 unread += int(fields[4].partition(":")[2], 16)
         return unread
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,10 +16,13 @@
 import msgspec
 
 from rosechute.configuration.process import split_address
+from rosechute.fakes.endless_server import FORMS
 from rosechute.fakes.fleet import words
+from rosechute.fakes.fleet.platform import Instance
 from rosechute.fakes.fleet.processes import CONTROL_PORT, FRONT_PORT, FleetNode
-from rosechute.fakes.fleet.scene import FleetDeployment
+from rosechute.fakes.fleet.scene import OTHER_KEY, FleetDeployment
 from tests.crowds.crowd import Crowd
+from tests.crowds.faulty_server import endless_callers, endless_server
 from tests.crowds.shapes import UNREAD, one_of_each
 from tests.crowds.watch import MEGABYTE, Watch
 from tests.soak.addresses import listening_addresses
@@ -43,6 +46,13 @@
     "edge": one_of_each(f"POST {PATH}", f"{words.REQUEST_ID}: crowd", f"{words.DEADLINE_MS}: 8000"),
     "core": one_of_each("POST /config/replace", f"{words.BASE_VERSION}: 1"),
 }
+FAULTY, FAULTY_CALLERS, FAULTY_PORT = "faulty", 40, 8100
+FAULTY_STAY_S = 1.5  # for which callers of the faulty server stay
+FAULTY_SUBNET = 6
+FAULTY_ROUTES: dict[str, dict[str, Any]] = {
+    "faulty-call": {"route_type": "non_idempotent"},
+    "faulty-stream": {"route_type": "streaming", "stream_resume": True},
+}
 SERIES_LENGTH = 40
 SERIES_PAUSE_S = 0.005
 
@@ -90,24 +100,43 @@
         self._clients: list[KeptConnectionClient] = []
         self._changing = asyncio.Lock()
         self._crowding = asyncio.Lock()
+        self._calling_faulty = asyncio.Lock()
         self._watches: list[tuple[FleetNode, Watch]] = []
 
     async def run(self) -> SoakResult:
         """Play the run and check the rules."""
         await self._scene.start()
+        address = (f"127.{self._scene.network}.{FAULTY_SUBNET}.1", FAULTY_PORT)
         try:
-            await self._prepare()
-            sending = [asyncio.create_task(client.run()) for client in self._clients]
-            await self._play()
-            for task in sending:
-                task.cancel()
-            await asyncio.gather(*sending, return_exceptions=True)
-            await self._check_configuration()
-            self._check_requests()
+            async with endless_server(*address) as faulty:
+                self._add_faulty_service(faulty)
+                await self._run()
         finally:
             await self._scene.stop()
         return self._result
 
+    def _add_faulty_service(self, address: str) -> None:
+        """Add a service whose one server sends without end, and its routes, to the configuration."""
+        configuration = self._scene.configuration
+        route, service = configuration["routes"][-1], configuration["services"][-1]
+        configuration["services"].append({**service, "name": FAULTY})
+        configuration["routes"] += [
+            {**route, **changes, "name": name, "path_prefix": f"/{name}/", "service": FAULTY}
+            for name, changes in FAULTY_ROUTES.items()
+        ]
+        zone = self._scene.fleet.zones[0]
+        self._scene.platform.put(Instance(id="i-faulty", service=FAULTY, address=address, zone=zone, slots=200))
+
+    async def _run(self) -> None:
+        await self._prepare()
+        sending = [asyncio.create_task(client.run()) for client in self._clients]
+        await self._play()
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+        await self._check_configuration()
+        self._check_requests()
+
     async def _prepare(self) -> None:
         scene = self._scene
         outcome = await scene.replace_configuration(within_s=READY_TIMEOUT_S)
@@ -144,6 +173,9 @@
         if trouble.kind is TroubleKind.CROWD:
             await self._crowd(node)
             return
+        if trouble.kind is TroubleKind.FAULTY_SERVER:
+            await self._call_faulty_server(node)
+            return
         if node.name in self._busy or node.process is None:
             return
         self._check_running(node)
@@ -169,6 +201,16 @@
             async with Crowd(address, script, CROWD_SIZE, reads=shape != UNREAD):
                 await asyncio.sleep(CROWD_STAY_S)
 
+    async def _call_faulty_server(self, node: FleetNode) -> None:
+        """Have callers of the faulty server at an edge, whatever else befalls it; at one edge at a time."""
+        if node.role != "edge" or self._calling_faulty.locked():
+            return
+        async with self._calling_faulty:
+            form, status = self._random.choice(list(FORMS)), self._random.choice((200, 500))
+            targets = [f"/{name}/1?form={form}&status={status}" for name in FAULTY_ROUTES]
+            async with endless_callers((node.ip, FRONT_PORT), FAULTY_CALLERS, targets, OTHER_KEY):
+                await asyncio.sleep(FAULTY_STAY_S)
+
     async def _restart(self, node: FleetNode, kind: TroubleKind) -> None:
         await self._end(node, kind)
         await asyncio.sleep(RESTART_PAUSE_S)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -24,11 +24,13 @@
     EARLY_END = "early end"  # a stop, and a further SIGTERM or SIGINT soon after the new start
     SIGNALS = "signals"  # a series of signals that end nothing
     CROWD = "crowd"  # clients outside the limits, who stay for a moment
+    FAULTY_SERVER = "faulty server"  # callers of a server that sends without end, who stay for a moment
 
 
 FLEET_KINDS = (TroubleKind.STOP, TroubleKind.STOP_TWICE, TroubleKind.KILL, TroubleKind.RELOAD, TroubleKind.CHANGE)
 PROCESS_KINDS = (TroubleKind.HELD_ADDRESS, TroubleKind.EARLY_END, TroubleKind.SIGNALS)
 CROWD_KINDS = (TroubleKind.CROWD,)
+FAULTY_SERVER_KINDS = (TroubleKind.FAULTY_SERVER,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +47,8 @@
     fleet = _draw_series(random.Random(seed), FLEET_KINDS, nodes, seconds)
     processes = _draw_series(random.Random(f"processes {seed}"), PROCESS_KINDS, nodes, seconds)
     crowds = _draw_series(random.Random(f"crowds {seed}"), CROWD_KINDS, nodes, seconds)
-    return sorted(fleet + processes + crowds, key=lambda trouble: trouble.at)
+    faulty = _draw_series(random.Random(f"faulty servers {seed}"), FAULTY_SERVER_KINDS, nodes, seconds)
+    return sorted(fleet + processes + crowds + faulty, key=lambda trouble: trouble.at)
 
 
 def _draw_series(
