A finished request charges nothing for responses; a response that nobody wants names no server

Cause (found by reading): a piece whose forwarding has its own request give way was charged after the request had given back what it had; and a success for a client that has left was told as a fault of its server. Test: the charge test fails without the change (5 bytes stay charged).

--- a/rosechute/data_plane/request.py
+++ b/rosechute/data_plane/request.py
@@ -243,6 +243,8 @@
         Raises:
             BrokenStreamError: an incomplete event takes more memory than its share.
         """
+        if self.state is RequestState.FINISHED:
+            return  # what was forwarded last had this request give way
         budget = self._context.pool.budget
         held = self._response.held_bytes
         is_over = held > budget.response_share
--- a/rosechute/proxy/http1/connection.py
+++ b/rosechute/proxy/http1/connection.py
@@ -73,7 +73,7 @@
     FRAMING = "framing"  # it has much more framing than payload
     STALLED = "stalled"  # it has paused for too long
     MEMORY = "memory"  # it takes more memory than its share
-    UNWANTED = "unwanted"  # its receiver does not take it as a stream
+    UNWANTED = "unwanted"  # its receiver does not take it as a stream; no fault of the server, and not told
 
 
 class InvalidResponseError(Exception):
@@ -312,7 +312,8 @@
     def _refuse(self, refusal: Refusal) -> None:
         """Fail the exchange because its response is not accepted."""
         self.is_response_invalid = True
-        if self._observer is not None and self._on_done is not None:
+        is_faulty = refusal is not Refusal.UNWANTED
+        if is_faulty and self._observer is not None and self._on_done is not None:
             self._observer.on_response_refused(self, refusal)
         self.abort()
         self._finish(None)
--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -15,7 +15,7 @@
 from rosechute.fakes.fleet.platform import Instance
 from rosechute.fakes.fleet.processes import FRONT_PORT
 from rosechute.processes.metrics import EDGE_PORT
-from tests.crowds.deployment import CONFIGURATION, HOST, ZONE, Deployment, bounded, deployment, restart
+from tests.crowds.deployment import CONFIGURATION, HANG_S, HOST, ZONE, Deployment, bounded, deployment, restart
 from tests.crowds.faulty_server import endless_callers, endless_server
 
 MEMORY_MB = 260
@@ -75,12 +75,24 @@
     print(f"{number} ordinary requests, slowest {slowest:.2f} s")
 
 
-async def metrics_name_the_faulty_server(fleet: Deployment) -> None:
+async def read_metrics(fleet: Deployment) -> str:
     async with (
         aiohttp.ClientSession() as session,
         session.get(f"http://{fleet.edge.ip}:{EDGE_PORT}/metrics") as response,
     ):
-        assert 'harmful_responses_total{server="i-faulty"' in await response.text()
+        return await response.text()
+
+
+async def metrics_name_the_faulty_server(fleet: Deployment) -> None:
+    assert 'harmful_responses_total{server="i-faulty"' in await read_metrics(fleet)
+
+
+async def responses_are_released(fleet: Deployment) -> None:
+    """Wait until nothing is charged for servers' responses any more."""
+    released = 'rosechute_request_memory_bytes{state="responses"} 0'
+    async with asyncio.timeout(HANG_S):
+        while released not in (await read_metrics(fleet)).splitlines():
+            await asyncio.sleep(PAUSE_S)
 
 
 @pytest.mark.parametrize("form", FORMS)
@@ -99,6 +111,7 @@
                             await ordinary_requests(fleet)
                             await fleet.probe_readiness()
                     await metrics_name_the_faulty_server(fleet)
+                    await responses_are_released(fleet)
                 await restart(fleet.fleet, fleet.edge)
 
     asyncio.run(scenario())
--- a/tests/fleet/test_messages_links.py
+++ b/tests/fleet/test_messages_links.py
@@ -9,8 +9,8 @@
 
 from rosechute.messages import backoff, client_link
 from rosechute.messages.errors import LinkError
-from rosechute.messages.framing import MessageKind
-from rosechute.messages.link_connection import LinkConnection
+from rosechute.messages.framing import MessageKind, encode_frame
+from rosechute.messages.link_connection import MAX_MESSAGES_PER_TURN, LinkConnection
 from rosechute.messages.link_pool import LinkPool
 from rosechute.messages.link_server import LinkServer
 
@@ -39,6 +39,26 @@
         pool.close()
         server.close()
 
+    async def test_many_messages_of_one_read_are_handled_in_order_and_in_turns(self) -> None:
+        count = 20 * MAX_MESSAGES_PER_TURN
+        received: list[bytes] = []
+        most_in_a_turn, seen = 0, 0
+        address = free_address()
+        server = LinkServer(address, lambda connection, kind, data: received.append(data))
+        await server.start()
+        host, port = address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        messages = [b"%d" % number for number in range(count)]
+        writer.write(b"".join(encode_frame(MessageKind.DISTRIBUTION, one) for one in messages))
+        async with asyncio.timeout(5):
+            while len(received) < count:
+                await asyncio.sleep(0)
+                most_in_a_turn, seen = max(most_in_a_turn, len(received) - seen), len(received)
+        self.assertEqual(received, messages)
+        self.assertLessEqual(most_in_a_turn, 2 * MAX_MESSAGES_PER_TURN)
+        writer.close()
+        server.close()
+
     async def test_a_refused_link_is_reported_and_reconnects_when_the_peer_listens(self) -> None:
         address = free_address()
         closed: asyncio.Queue[LinkError] = asyncio.Queue()
--- a/tests/fleet/test_planted_data_plane_requests.py
+++ b/tests/fleet/test_planted_data_plane_requests.py
@@ -32,7 +32,7 @@
 from rosechute.data_plane.request_state import RequestState
 from rosechute.data_plane.route_durations import RouteDurations
 from rosechute.data_plane.server_request import ResumePoint, serialize_attempt
-from rosechute.proxy.core.flow import Budget
+from rosechute.proxy.core.flow import MIN_SHARE_BYTES, Budget
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.http1.connection import Reply
 from rosechute.routing.model import AttemptResult, RejectReason, Send
@@ -774,6 +774,29 @@
         self.context.take()
         return attempt
 
+    def test_an_incomplete_event_is_charged_until_its_request_has_finished(self) -> None:
+        self.resumable()
+        budget = self.context.pool.budget
+        self.request.pass_on(b"id: 2")
+        self.assertEqual(budget.responses_used, len(b"id: 2"))
+        self.request.on_client_disconnected()
+        self.assertEqual((budget.used, budget.responses_used), (0, 0))
+
+    def test_nothing_is_charged_for_a_request_that_gives_way_as_its_event_is_forwarded(self) -> None:
+        self.resumable()
+        with mock.patch.object(
+            self.message.connection, "pass_on", lambda message, data: self.request.on_client_disconnected()
+        ):
+            self.request.pass_on(event(2) + b"id: 3")
+        self.assertIs(self.request.state, S.FINISHED)
+        self.assertEqual(self.context.pool.budget.responses_used, 0)
+
+    def test_an_event_over_its_share_of_the_memory_breaks_the_stream(self) -> None:
+        self.resumable()
+        self.context.pool.budget.take_response(self.context.pool.budget.total)
+        self.request.pass_on(b"x" * (MIN_SHARE_BYTES + 1))
+        self.assertIs(self.request.state, S.QUEUED)
+
     def test_a_stream_goes_on_at_another_server(self) -> None:
         attempt = self.resumable()
         attempt.end(RESET)
