Test of 200 callers of a server that sends without end, at an edge with the descriptors of a small deployment

With 600 descriptors (FAULTY_CALLERS=200 on the other test) 4 of 5 forms fail: an ordinary request gets 503.

--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -15,11 +15,24 @@
 from rosechute.fakes.fleet.platform import Instance
 from rosechute.fakes.fleet.processes import FRONT_PORT
 from rosechute.processes.metrics import EDGE_PORT
-from tests.crowds.deployment import CONFIGURATION, HANG_S, HOST, ZONE, Deployment, bounded, deployment, restart
+from tests.crowds.deployment import (
+    CONFIGURATION,
+    HANG_S,
+    HOST,
+    MAX_FDS,
+    ZONE,
+    Deployment,
+    bounded,
+    deployment,
+    restart,
+)
 from tests.crowds.faulty_server import endless_callers, endless_server
 
 MEMORY_MB = 260
 CALLERS = int(os.environ.get("FAULTY_CALLERS", "64"))
+# More callers than an edge with few descriptors has places for, at one with those of a small deployment.
+MANY_CALLERS, MANY_FDS = 200, 4100
+MANY_CALLERS_FORMS = ("byte_chunks", "partial_events", "whole_events")
 STAY_S = 4.0
 SERVER_PORT = 8100
 DEADLINE_S = 2.0  # of the ordinary requests: four times the target latency of their route
@@ -95,23 +108,30 @@
             await asyncio.sleep(PAUSE_S)
 
 
+async def callers_of_a_faulty_server_come_and_go(form: str, callers: int, max_fds: int) -> None:
+    configuration = configuration_with_faulty_service()
+    async with deployment(MEMORY_MB, max_fds, configuration=configuration) as fleet:
+        host = f"127.{fleet.edge.ip.split('.')[1]}.4.9"
+        async with endless_server(host, SERVER_PORT) as address:
+            fleet.platform.put(Instance(id="i-faulty", service=FAULTY, address=address, zone=ZONE, slots=200))
+            await asyncio.sleep(1.0)
+            async with bounded(fleet.edge, MEMORY_MB, max_fds, (host,)):
+                for status in STATUSES:
+                    targets = [f"/{name}/1?form={form}&status={status}" for name in ROUTE_TYPES]
+                    print(form, status)
+                    async with endless_callers((fleet.edge.ip, FRONT_PORT), callers, targets):
+                        await ordinary_requests(fleet)
+                        await fleet.probe_readiness()
+                await metrics_name_the_faulty_server(fleet)
+                await responses_are_released(fleet)
+            await restart(fleet.fleet, fleet.edge, max_fds)
+
+
 @pytest.mark.parametrize("form", FORMS)
 def test_endless_response_leaves_memory_and_time_for_other_requests(form):
-    async def scenario():
-        async with deployment(MEMORY_MB, configuration=configuration_with_faulty_service()) as fleet:
-            host = f"127.{fleet.edge.ip.split('.')[1]}.4.9"
-            async with endless_server(host, SERVER_PORT) as address:
-                fleet.platform.put(Instance(id="i-faulty", service=FAULTY, address=address, zone=ZONE, slots=200))
-                await asyncio.sleep(1.0)
-                async with bounded(fleet.edge, MEMORY_MB, server_ips=(host,)):
-                    for status in STATUSES:
-                        targets = [f"/{name}/1?form={form}&status={status}" for name in ROUTE_TYPES]
-                        print(form, status)
-                        async with endless_callers((fleet.edge.ip, FRONT_PORT), CALLERS, targets):
-                            await ordinary_requests(fleet)
-                            await fleet.probe_readiness()
-                    await metrics_name_the_faulty_server(fleet)
-                    await responses_are_released(fleet)
-                await restart(fleet.fleet, fleet.edge)
-
-    asyncio.run(scenario())
+    asyncio.run(callers_of_a_faulty_server_come_and_go(form, CALLERS, MAX_FDS))
+
+
+@pytest.mark.parametrize("form", MANY_CALLERS_FORMS)
+def test_endless_response_to_many_callers_leaves_memory_and_time_for_other_requests(form):
+    asyncio.run(callers_of_a_faulty_server_come_and_go(form, MANY_CALLERS, MANY_FDS))
