Requests of one service leave places for connections to other services' servers

What callers saw: beside 200 callers of a server that sends without end, at an edge with 600 descriptors, ordinary requests of another service got 503. Cause: those callers held all 80 connections to servers; the shortage counted as failed connects (56 of 58 attempts) of the sound server, which the router then avoided (all_backed_off, connection limit 0). Change: the last eighth of the places is for services that have less than that. Left: a local shortage still counts as a failed connect of the server.

--- a/rosechute/data_plane/connection_pool.py
+++ b/rosechute/data_plane/connection_pool.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import socket
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Sequence
 
 from rosechute.configuration.process import split_address
@@ -25,6 +25,7 @@
 KEEPALIVE_PROBES = 2  # TCP_KEEPCNT
 ANY_SUCCESS = range(200, 300)
 HARMFUL_RESPONSES = "harmful_responses"  # counter name
+RESERVED_PLACES_DIVISOR = 8  # this fraction of the connections is for services that have less than it
 COSTLY = "costly"  # kind of a response whose reads take several turns of the event loop
 MAX_COUNTED_SERVERS = 50
 OTHER_SERVERS = "others"
@@ -91,6 +92,7 @@
         self._servers: dict[str, ServerConnections] = {}
         self._limits: dict[str, int] = {}  # maximum number of connections to each server, by service
         self._open_count = 0
+        self._open_by_service: Counter[str] = Counter()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     # --- the endpoint list
@@ -187,7 +189,7 @@
             OSError: no file descriptor is available, or the server refuses the connection or does not accept it
                 within `CONNECT_TIMEOUT_S`.
         """
-        if not self._may_open():
+        if not self._may_open(server.service):
             raise OSError("no file descriptor is available for a connection to a server")
         host, port = split_address(server.address)
         connection = PooledConnection(
@@ -203,6 +205,7 @@
         )
         connection.wire.owner = connection
         self._open_count += 1
+        self._open_by_service[server.service] += 1
         server.open_count += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -246,9 +249,15 @@
             announced_s = float(found[1])
             server.idle_timeout_s = max(announced_s / 2, announced_s - IDLE_MARGIN_S)
 
-    def _may_open(self) -> bool:
-        """Return whether one more connection may be opened, after closing the longest idle one if necessary."""
-        return self._open_count < self.max_connections or self._close_longest_idle_of_all()
+    def _may_open(self, service: str) -> bool:
+        """Return whether one more connection may be opened, after closing the longest idle one if necessary.
+
+        The last places are for services that have few, so that the requests of one service do not take all.
+        """
+        reserved = self.max_connections // RESERVED_PLACES_DIVISOR
+        own = self._open_by_service[service]
+        limit = self.max_connections if own < reserved else self.max_connections - reserved
+        return self._open_count < max(1, limit) or self._close_longest_idle_of_all()
 
     def _close_longest_idle_of_all(self) -> bool:
         """Close the longest idle connection of all servers; return whether there was one."""
@@ -299,6 +308,7 @@
         if connection.wire.owner is connection:
             connection.wire.owner = None
             self._open_count -= 1
+            self._open_by_service[connection.server.service] -= 1
             connection.server.open_count -= 1
 
     def _sweep(self) -> None:
--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -30,8 +30,8 @@
 
 MEMORY_MB = 260
 CALLERS = int(os.environ.get("FAULTY_CALLERS", "64"))
-# More callers than an edge with few descriptors has places for, at one with those of a small deployment.
-MANY_CALLERS, MANY_FDS = 200, 4100
+MANY_CALLERS = 200  # more than an edge with few descriptors has places for
+MANY_FDS = 4100  # descriptors of an edge of a small deployment
 MANY_CALLERS_FORMS = ("byte_chunks", "partial_events", "whole_events")
 STAY_S = 4.0
 SERVER_PORT = 8100
@@ -132,6 +132,10 @@
     asyncio.run(callers_of_a_faulty_server_come_and_go(form, CALLERS, MAX_FDS))
 
 
+def test_callers_of_one_service_leave_places_for_connections_to_others():
+    asyncio.run(callers_of_a_faulty_server_come_and_go("byte_chunks", MANY_CALLERS, MAX_FDS))
+
+
 @pytest.mark.parametrize("form", MANY_CALLERS_FORMS)
 def test_endless_response_to_many_callers_leaves_memory_and_time_for_other_requests(form):
     asyncio.run(callers_of_a_faulty_server_come_and_go(form, MANY_CALLERS, MANY_FDS))
--- a/tests/fleet/test_data_plane_connection_pool.py
+++ b/tests/fleet/test_data_plane_connection_pool.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rosechute.data_plane.connection_pool import RESERVED_PLACES_DIVISOR
 from tests.fleet.data_site import Call, DataPlaneHarness, ServerConnection, VirtualTimeTestCase, respond_ok
 
 
@@ -109,3 +110,20 @@
             harness.close()
 
         self.run_scenario(scenario)
+
+    def test_one_service_leaves_the_last_places_to_others(self) -> None:
+        async def scenario() -> None:
+            harness = await DataPlaneHarness().start(s1=respond_slowly)
+            await harness.serve("other", o1=respond_ok)
+            await harness.fetch()
+            harness.plane.pool.resize(RESERVED_PLACES_DIVISOR)
+            sending = [asyncio.create_task(harness.fetch(deadline=4000)) for _ in range(RESERVED_PLACES_DIVISOR)]
+            await asyncio.sleep(0.1)
+            server = harness.plane.pool.find("s1")
+            assert server is not None
+            self.assertEqual(server.open_count, RESERVED_PLACES_DIVISOR - 1)
+            self.assertEqual((await harness.fetch("/other/1")).status, 200)
+            await asyncio.gather(*sending)
+            harness.close()
+
+        self.run_scenario(scenario)
