One rule for the memory of a header; simpler turns of responses, partial events and links

Found on reading the change again. The sum of a header's memory stood three times; a turn that leaves data charged it twice; the state of a link's waiting messages was kept after its end.

--- a/rosechute/data_plane/event_stream.py
+++ b/rosechute/data_plane/event_stream.py
@@ -75,7 +75,8 @@
         if len(received) - end > self._max_event_bytes:
             raise BrokenStreamError("event exceeds the size limit")
         complete = bytes(received[:end])
-        self._partial = bytearray(received[end:]) if end or not self._partial else self._partial
+        if end or not self._partial:
+            self._partial = bytearray(received[end:])
         return self._filtered(complete) if complete else b""
 
     def finish(self, has_explicit_length: bool = True) -> bytes:
--- a/rosechute/messages/link_connection.py
+++ b/rosechute/messages/link_connection.py
@@ -134,6 +134,7 @@
         self._transport = None
         self._queue.clear()
         self._received.clear()
+        self._received_bytes = 0
         if self._table is not None:
             self._table.remove(self)
         self._on_closed(self, str(error) if error else "closed")
@@ -170,11 +171,11 @@
             frame = self._received.popleft()
             self._received_bytes -= len(frame.message) + MESSAGE_OVERHEAD_BYTES
             self._handle(frame.kind, frame.message)
-        if self._received and self._transport is not None:
-            self._set_reading(self._transport, False)
+        if self._transport is None:
+            return
+        self._set_reading(self._transport, not self._received)
+        if self._received:
             asyncio.get_running_loop().call_soon(self._handle_received)
-        elif self._transport is not None:
-            self._set_reading(self._transport, True)
 
     def _set_reading(self, transport: asyncio.Transport, is_reading: bool) -> None:
         if is_reading == self._is_reading or transport.is_closing():
--- a/rosechute/proxy/core/flow.py
+++ b/rosechute/proxy/core/flow.py
@@ -25,6 +25,11 @@
 HEADER_OVERHEAD_BYTES = 200  # memory of a header besides its bytes: a tuple, two objects and an entry in the list
 
 
+def memory_of_header(name: bytes, value: bytes) -> int:
+    """Return the memory that one header takes with its objects, in bytes."""
+    return len(name) + len(value) + HEADER_OVERHEAD_BYTES
+
+
 class Budget:
     """Memory budget of all bodies, in bytes.
 
--- a/rosechute/proxy/http1/client.py
+++ b/rosechute/proxy/http1/client.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from rosechute.proxy.core.flow import HEADER_OVERHEAD_BYTES, Body, Budget, Pieces, Source
+from rosechute.proxy.core.flow import Body, Budget, Pieces, Source, memory_of_header
 from rosechute.proxy.core.log import LOG
 from rosechute.proxy.core.shedding import Standing
 from rosechute.proxy.http1 import quick
@@ -524,7 +524,7 @@
         assert self._message is not None
         if self._in_head:
             self._message.headers.append((name.lower(), value.strip(b" \t")))  # the parser leaves trailing spaces
-            self._charge_message(self._message, len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+            self._charge_message(self._message, memory_of_header(name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head.
--- a/rosechute/proxy/http1/connection.py
+++ b/rosechute/proxy/http1/connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from rosechute.proxy.core.flow import HEADER_OVERHEAD_BYTES, Body, Budget, Pieces, Sink
+from rosechute.proxy.core.flow import Body, Budget, Pieces, Sink, memory_of_header
 from rosechute.proxy.core.receive_buffers import LARGE_RECEIVE_BUFFER_BYTES
 from rosechute.proxy.core.turns import TurnQueue
 from rosechute.proxy.http1 import quick
@@ -43,7 +43,7 @@
     @property
     def memory_bytes(self) -> int:
         """Memory that it takes, in bytes."""
-        return len(self.body) + memory_of_headers(self.headers)
+        return len(self.body) + sum(memory_of_header(name, value) for name, value in self.headers)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
@@ -53,11 +53,6 @@
         return None
 
 
-def memory_of_headers(headers: list[tuple[bytes, bytes]]) -> int:
-    """Return the memory that headers take with their objects, in bytes."""
-    return sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in headers)
-
-
 Done = Callable[["Reply | None"], None]  # called with the response, or with `None` for a failed exchange
 Begin = Callable[["Reply", "int | None"], "Sink | None"]  # called with a response's head and length; returns its sink
 Wrote = Callable[[], None]  # called once the request is fully written
@@ -235,10 +230,11 @@
                 self._unparsed, self._unparsed_at = b"", 0
             self._parse(piece)
         self._pass_on()
-        self._charge()
         if self._unparsed:
             self._wait_for_turn()
-        elif self._on_done is not None and not self._is_receiver_paused:
+            return
+        self._charge()
+        if self._on_done is not None and not self._is_receiver_paused:
             self._set_reading(True)
 
     def _become_costly(self) -> None:
@@ -334,7 +330,7 @@
         """Add a header; ignore trailers."""
         self._calls += 1
         if self._in_head:
-            self._headers_memory += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            self._headers_memory += memory_of_header(name, value)
             self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
