An edge without places for connections to servers opens none, as before the reserve

Cause: the reserve of places for other services put a lower bound of one on the limit, which a pool of none ignored. Found on reading the change again; callers saw nothing. Test: test_no_connection_is_opened_without_places got 200 before, gets 503.

--- a/rosechute/data_plane/connection_pool.py
+++ b/rosechute/data_plane/connection_pool.py
@@ -257,7 +257,7 @@
         reserved = self.max_connections // RESERVED_PLACES_DIVISOR
         own = self._open_by_service[service]
         limit = self.max_connections if own < reserved else self.max_connections - reserved
-        return self._open_count < max(1, limit) or self._close_longest_idle_of_all()
+        return self._open_count < limit or self._close_longest_idle_of_all()
 
     def _close_longest_idle_of_all(self) -> bool:
         """Close the longest idle connection of all servers; return whether there was one."""
--- a/tests/fleet/test_data_plane_connection_pool.py
+++ b/tests/fleet/test_data_plane_connection_pool.py
@@ -111,6 +111,15 @@
 
         self.run_scenario(scenario)
 
+    def test_no_connection_is_opened_without_places(self) -> None:
+        async def scenario() -> None:
+            harness = await DataPlaneHarness().start(s1=respond_ok)
+            harness.plane.pool.resize(0)
+            self.assertEqual((await harness.fetch()).status, 503)
+            harness.close()
+
+        self.run_scenario(scenario)
+
     def test_one_service_leaves_the_last_places_to_others(self) -> None:
         async def scenario() -> None:
             harness = await DataPlaneHarness().start(s1=respond_slowly)
