--- a/tests/crowds/faulty_server.py
+++ b/tests/crowds/faulty_server.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 import sys
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 20.0
+PAUSE_S = 0.05
 
 
 @contextlib.asynccontextmanager
@@ -33,6 +34,20 @@
         yield
 
 
+async def answered_in_time(request: Callable[[int], Awaitable[None]], seconds: float, deadline_s: float) -> None:
+    """Make numbered requests one after the other for this long; each must be answered within the deadline."""
+    loop = asyncio.get_running_loop()
+    end, number, slowest = loop.time() + seconds, 0, 0.0
+    while loop.time() < end:
+        began = loop.time()
+        number += 1
+        async with asyncio.timeout(deadline_s):
+            await request(number)
+        slowest = max(slowest, loop.time() - began)
+        await asyncio.sleep(PAUSE_S)
+    print(f"{number} requests, slowest {slowest:.2f} s")
+
+
 @contextlib.asynccontextmanager
 async def _process(module: str, *arguments: str) -> AsyncIterator[asyncio.subprocess.Process]:
     process = await asyncio.create_subprocess_exec(
--- a/tests/crowds/test_faulty_platform_list.py
+++ b/tests/crowds/test_faulty_platform_list.py
@@ -15,26 +15,22 @@
 from rosechute.fakes.fleet.processes import Fleet
 from rosechute.processes.metrics import CORE_PORT
 from tests.crowds.deployment import CONFIGURATION, HANG_S, ZONE, Deployment, bounded, restart
-from tests.crowds.faulty_server import endless_server
+from tests.crowds.faulty_server import answered_in_time, endless_server
 
 MEMORY_MB, MAX_FDS = 128, 600
 STAY_S = 2.5
-PAUSE_S = 0.1
 DEADLINE_S = 2.0
 LIST_PORT = 8100
 CASES = [(form, 200) for form in FORMS] + [("no_length", 500)]
 
 
 async def core_is_answering(running: Deployment) -> None:
-    loop = asyncio.get_running_loop()
-    end, slowest = loop.time() + STAY_S, 0.0
-    while loop.time() < end:
-        began = loop.time()
-        async with asyncio.timeout(DEADLINE_S):
-            await running.read_metrics(running.core, CORE_PORT)
-        slowest = max(slowest, loop.time() - began)
-        await asyncio.sleep(PAUSE_S)
-    print(f"slowest {slowest:.2f} s")
+    """Have each read of the core's metrics answered in time."""
+
+    async def read_metrics(number: int) -> None:
+        await running.read_metrics(running.core, CORE_PORT)
+
+    await answered_in_time(read_metrics, STAY_S, DEADLINE_S)
 
 
 @pytest.mark.parametrize(("form", "status"), CASES)
--- a/tests/crowds/test_faulty_server_edge.py
+++ b/tests/crowds/test_faulty_server_edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import functools
 import os
 from typing import Any
 
@@ -26,7 +27,7 @@
     deployment,
     restart,
 )
-from tests.crowds.faulty_server import endless_callers, endless_server
+from tests.crowds.faulty_server import PAUSE_S, answered_in_time, endless_callers, endless_server
 
 MEMORY_MB = 260
 CALLERS = int(os.environ.get("FAULTY_CALLERS", "64"))
@@ -36,7 +37,6 @@
 STAY_S = 2.5
 SERVER_PORT = 8100
 DEADLINE_S = 2.0  # of the ordinary requests: four times the target latency of their route
-PAUSE_S = 0.05
 FAULTY = "faulty"
 ROUTE_TYPES: dict[str, dict[str, Any]] = {
     "unsafe": {"route_type": "non_idempotent", "max_attempts": 1},
@@ -59,7 +59,7 @@
 
 
 async def ordinary_request(fleet: Deployment, number: int) -> None:
-    """Have one request to another server answered at the first try, within its deadline."""
+    """Have one request to another server answered at the first try."""
     headers = {
         "Host": HOST,
         words.REQUEST_ID: f"ordinary-{number}",
@@ -67,7 +67,6 @@
     }
     url = f"http://{fleet.edge.ip}:{FRONT_PORT}/plain/1"
     async with (
-        asyncio.timeout(DEADLINE_S),
         aiohttp.ClientSession() as session,
         session.post(url, headers=headers, data=b"ordinary") as response,
     ):
@@ -76,18 +75,6 @@
         assert answer == words.plain_body("/plain/1", b"ordinary")
 
 
-async def ordinary_requests(fleet: Deployment) -> None:
-    loop = asyncio.get_running_loop()
-    end, number, slowest = loop.time() + STAY_S, 0, 0.0
-    while loop.time() < end:
-        began = loop.time()
-        number += 1
-        await ordinary_request(fleet, number)
-        slowest = max(slowest, loop.time() - began)
-        await asyncio.sleep(PAUSE_S)
-    print(f"{number} ordinary requests, slowest {slowest:.2f} s")
-
-
 async def read_metrics(fleet: Deployment) -> str:
     async with (
         aiohttp.ClientSession() as session,
@@ -120,7 +107,7 @@
                     targets = [f"/{name}/1?form={form}&status={status}" for name in ROUTE_TYPES]
                     print(form, status)
                     async with endless_callers((fleet.edge.ip, FRONT_PORT), callers, targets):
-                        await ordinary_requests(fleet)
+                        await answered_in_time(functools.partial(ordinary_request, fleet), STAY_S, DEADLINE_S)
                         await fleet.probe_readiness()
                 await metrics_name_the_faulty_server(fleet)
                 await responses_are_released(fleet)
--- a/tests/crowds/test_faulty_server_sidecar.py
+++ b/tests/crowds/test_faulty_server_sidecar.py
@@ -9,12 +9,11 @@
 from test_process import free_port
 
 from rosechute.fakes.endless_server import FORMS
-from tests.crowds.faulty_server import endless_callers, endless_server
+from tests.crowds.faulty_server import answered_in_time, endless_callers, endless_server
 from tests.crowds.test_crowd_sidecar import MAX_SOCKETS, MEMORY_MB, bounded_process, sidecar_process
 
 CALLERS = 48
 STAY_S = 2.0
-PAUSE_S = 0.05
 OPERATOR_DEADLINE_S = 2.0
 CLASSES = ("single_shot", "free", "guarded")
 STATUSES = (200, 500)
@@ -22,15 +21,11 @@
 
 async def operators_are_answered(control: int) -> None:
     """Have each of the operator's calls answered in time."""
-    loop = asyncio.get_running_loop()
-    end, slowest = loop.time() + STAY_S, 0.0
-    while loop.time() < end:
-        began = loop.time()
-        async with asyncio.timeout(OPERATOR_DEADLINE_S):
-            assert (await operate(control, "GET /stats"))[0] == 200
-        slowest = max(slowest, loop.time() - began)
-        await asyncio.sleep(PAUSE_S)
-    print(f"slowest {slowest:.2f} s")
+
+    async def read_stats(number: int) -> None:
+        assert (await operate(control, "GET /stats"))[0] == 200
+
+    await answered_in_time(read_stats, STAY_S, OPERATOR_DEADLINE_S)
 
 
 @pytest.mark.parametrize("form", FORMS)
